--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,917 @@
+//! Every decision of the router, every table, default and tuned value. The interface is `src/api.rs`.
+//!
+//! Reading order: tunables, views of servers, the monitor, the dispatcher, the writer pick, the guards.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::api::*;
+
+// ---- Tunables: ratios of what is seen or of the settings ----
+
+/// Weight that a fit keeps of its past at each new answer: about thirty answers of memory.
+const FIT_KEEP: f64 = 0.97;
+/// Weight of one answer in a server's own pace: a slowdown shows within a few answers.
+const PACE_STEP: f64 = 0.3;
+/// An attempt older than this many predicted times no longer speaks for its server.
+const OVERDUE: f64 = 3.0;
+/// ... and older than this share of its TTFT aim, so that short reads are not judged by jitter.
+const OVERDUE_AIM: f64 = 0.25;
+/// An attempt is given up after this many predicted times, at least after the share of the aim below.
+const GIVE_UP: f64 = 4.0;
+const GIVE_UP_AIM: f64 = 0.5;
+/// Memory mark: a writer above this share of its KV memory takes no read, and no read is begun
+/// when all are above it. The rest is room for the growth of running answers.
+const MARK: f64 = 0.85;
+/// Nominal pace of a stream, as a share of its TPOT aim: what it needs when nothing disturbs it.
+const NOMINAL: f64 = 0.6;
+/// A request waits at the router for this share of its TTFT aim at most.
+const HOLD: f64 = 0.6;
+/// First suspension of a server after a failure, as a share of the shortest TTFT aim; it doubles.
+const SUSPEND: f64 = 0.5;
+const SUSPEND_DOUBLINGS: u32 = 4;
+/// A state that no writer takes is let go after this share of the time that the rule allows.
+const LET_GO: f64 = 0.6;
+/// Share of the cold budget that is used: the rest is room for uneven splits among fronts.
+const COLD_USE: f64 = 0.6;
+/// A report older than this many TTFT aims is no evidence.
+const REPORT_LIFE: f64 = 2.0;
+/// A state that leaves its cell counts as this many times its tokens at the far writer.
+const FAR_HANDICAP: f64 = 2.0;
+/// Places in a server's memory of kept texts; the oldest half goes when it is full.
+const KEPT_MOST: usize = 2000;
+/// The one timer's name.
+const SWEEP: u64 = 1;
+
+// ---- Views of servers ----
+
+/// What an attempt is for; also numbers the fits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// A read at a reader.
+    Read = 0,
+    /// A read and answer at a writer or mixed server (rule 3).
+    Whole = 1,
+    /// A state fetched inside its cell, or from another one.
+    Near = 2,
+    Far = 3,
+}
+
+/// A line fitted to answers, older ones fading: microseconds over tokens.
+#[derive(Clone, Copy, Default)]
+struct Line {
+    n: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Line {
+    fn learn(&mut self, x: f64, y: f64) {
+        for (sum, new) in [
+            (&mut self.n, 1.0),
+            (&mut self.x, x),
+            (&mut self.y, y),
+            (&mut self.xx, x * x),
+            (&mut self.xy, x * y),
+        ] {
+            *sum = *sum * FIT_KEEP + new;
+        }
+    }
+
+    /// Falls back on the mean where the answers do not span a line that rises.
+    fn at(&self, x: f64) -> f64 {
+        if self.n < 0.5 {
+            return 0.0;
+        }
+        let (mx, my) = (self.x / self.n, self.y / self.n);
+        let spread = self.xx / self.n - mx * mx;
+        let slope = if spread > 1.0 {
+            (self.xy / self.n - mx * my) / spread
+        } else {
+            0.0
+        };
+        let slope = slope.clamp(0.0, if mx > 0.0 { my / mx } else { 0.0 });
+        my + slope * (x - mx)
+    }
+}
+
+/// An attempt that is out at a server.
+#[derive(Clone)]
+struct Job {
+    kind: Kind,
+    attempt: u32,
+    sent: Time,
+    /// When its work is held to have begun, and to end.
+    start: Time,
+    due: Time,
+    x: f64,
+    tokens: f64,
+    aim: f64,
+    first: Option<Time>,
+    tpot: f64,
+    /// Read time of ours that has stalled this stream.
+    charged: f64,
+}
+
+struct View {
+    entry: Entry,
+    role: Role,
+    kv: f64,
+    jobs: BTreeMap<ReqId, Job>,
+    /// Own pace against the common fits, by kind of attempt.
+    pace: [f64; 4],
+    last_read_end: Time,
+    kept: BTreeMap<TextKey, (f64, Time)>,
+    /// Memory share, other business, and when told.
+    report: Option<(f64, Time)>,
+    strikes: u32,
+    suspended: Time,
+    sends: VecDeque<Time>,
+}
+
+impl View {
+    fn tokens(&self) -> f64 {
+        self.jobs.values().map(|job| job.tokens).sum()
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().filter(|job| job.first.is_none())
+    }
+
+    fn overdue(&self, now: Time) -> bool {
+        self.waiting().any(|job| {
+            let age = now.saturating_sub(job.start) as f64;
+            age > OVERDUE * job.due.saturating_sub(job.start) as f64 && age > OVERDUE_AIM * job.aim
+        })
+    }
+
+    fn kept(&self, ask: &Arrival) -> f64 {
+        let of = |key: &Option<TextKey>, most: f64| {
+            key.as_ref()
+                .and_then(|key| self.kept.get(key))
+                .map_or(0.0, |(tokens, _)| tokens.min(most))
+        };
+        of(&ask.session, ask.prompt).max(of(&ask.prefix, ask.shared))
+    }
+
+    fn remember(&mut self, ask: &Arrival, found: f64, now: Time) {
+        // Guards against texts that are gone: what an answer did not find is no longer counted on.
+        for (key, tokens) in [(&ask.session, ask.prompt), (&ask.prefix, ask.shared)] {
+            if let Some(key) = key.as_ref().filter(|_| tokens > 0.0) {
+                self.kept.insert(key.clone(), (tokens, now));
+            }
+        }
+        if found + 1.0 < ask.shared {
+            self.kept
+                .retain(|key, (_, at)| *at == now || Some(key) == ask.session.as_ref());
+        }
+        if self.kept.len() > KEPT_MOST {
+            let mut times: Vec<Time> = self.kept.values().map(|(_, at)| *at).collect();
+            times.sort_unstable();
+            let middle = times[times.len() / 2];
+            self.kept.retain(|_, (_, at)| *at > middle);
+        }
+    }
+}
+
+/// A request that this front has taken.
+struct Request {
+    ask: Arrival,
+    arrived: Time,
+    deadline: Time,
+    aim: f64,
+    /// Beyond its tenant's share.
+    over: bool,
+    tries: u32,
+    reads: u32,
+    out: Option<(ServerId, u32)>,
+    /// The reader whose state waits, and since when.
+    state: Option<(ServerId, Time)>,
+    /// A read has been sent, so something may be held.
+    pinned: bool,
+    streaming: bool,
+    ended: bool,
+    /// Server and send time of the first attempt that may have run.
+    ran: Option<(ServerId, Time)>,
+    avoid: BTreeSet<ServerId>,
+}
+
+/// One front's router.
+pub struct Router {
+    set: Settings,
+    seed: u64,
+    views: BTreeMap<ServerId, View>,
+    requests: BTreeMap<ReqId, Request>,
+    held: BTreeSet<ReqId>,
+    fits: [Line; 4],
+    quota: Vec<(f64, Time)>,
+    armed: bool,
+    asked: Option<Time>,
+}
+
+impl Router {
+    /// A router that knows nothing yet. The seed feeds its random numbers, which only break ties.
+    pub fn new(set: Settings, seed: u64) -> Router {
+        let quota = vec![(0.0, 0); set.tenants.len()];
+        Router {
+            set,
+            seed: seed | 1,
+            views: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            held: BTreeSet::new(),
+            fits: [Line::default(); 4],
+            quota,
+            armed: false,
+            asked: None,
+        }
+    }
+
+    /// Takes one event and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Servers { mode, entries } => self.servers(now, mode, entries, out),
+            Event::Arrived(ask) => self.arrived(now, ask),
+            Event::Streaming { id, server, .. } => self.first(now, id, &server),
+            Event::Ended {
+                id,
+                server,
+                outcome,
+                settled,
+                note,
+                load,
+                ..
+            } => {
+                self.report(now, &server, load);
+                self.ended(now, id, &server, outcome, settled, note, out);
+            }
+            Event::Probed { server, load, .. } => self.report(now, &server, load),
+            Event::ClientGone { id } => self.gone(id, out),
+            Event::Timer { name: SWEEP } => {
+                self.armed = false;
+                self.sweep(now, out);
+            }
+            Event::Timer { .. } | Event::Place { .. } => {}
+        }
+        self.dispatch_held(now, out);
+        self.arm(out);
+    }
+
+    fn random(&mut self) -> f64 {
+        self.seed ^= self.seed << 13;
+        self.seed ^= self.seed >> 7;
+        self.seed ^= self.seed << 17;
+        (self.seed >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn arm(&mut self, out: &mut Vec<Action>) {
+        let open = self.requests.values().any(|r| !r.streaming && !r.ended);
+        if !self.armed && (open || self.asked.is_some()) {
+            self.armed = true;
+            let after = (self.set.let_go_by / 10).max(self.set.tick).max(1);
+            out.push(Action::Timer { after, name: SWEEP });
+        }
+    }
+
+    // ---- The monitor ----
+
+    fn servers(&mut self, now: Time, mode: ListMode, entries: Vec<Entry>, out: &mut Vec<Action>) {
+        // The list must be asked for where it is not pushed; a call that failed is made again.
+        if self.set.discovery == Discovery::Asked {
+            match mode {
+                ListMode::Restored => {
+                    out.push(Action::Subscribe);
+                }
+                ListMode::Failed => self.asked = Some(now + self.set.ask_within / 8),
+                _ => self.asked = None,
+            }
+        }
+        if mode == ListMode::Failed {
+            return;
+        }
+        if mode != ListMode::Changes {
+            for view in self.views.values_mut() {
+                view.entry.listed = Listed::Gone;
+            }
+        }
+        for entry in entries {
+            let role = self.set.roles.get(entry.kind).copied().unwrap_or(Role::Mixed);
+            let kv = self.set.kv_tokens.get(entry.kind).copied().unwrap_or(0.0);
+            let view = self.views.entry(entry.server.clone()).or_insert_with(|| View {
+                entry: entry.clone(),
+                role,
+                kv,
+                jobs: BTreeMap::new(),
+                pace: [1.0; 4],
+                last_read_end: 0,
+                kept: BTreeMap::new(),
+                report: None,
+                strikes: 0,
+                suspended: 0,
+                sends: VecDeque::new(),
+            });
+            if entry.ready_at != view.entry.ready_at {
+                // A new process: what was known of the old one is void.
+                (view.pace, view.report, view.strikes, view.suspended) = ([1.0; 4], None, 0, 0);
+                view.kept.clear();
+            }
+            (view.entry, view.role, view.kv) = (entry, role, kv);
+        }
+        self.views
+            .retain(|_, view| view.entry.listed != Listed::Gone || !view.jobs.is_empty());
+    }
+
+    fn report(&mut self, now: Time, server: &ServerId, load: Option<Vec<f64>>) {
+        let (Some(load), Some(view)) = (load, self.views.get_mut(server)) else {
+            return;
+        };
+        let mut share: Option<f64> = None;
+        for (field, value) in self.set.report_fields.iter().zip(load) {
+            if matches!(field, ReportField::MemoryShare | ReportField::Busy) {
+                share = Some(share.unwrap_or(0.0).max(value));
+            }
+        }
+        view.report = share.map(|share| (share, now)).or(view.report);
+    }
+
+    fn predict(&self, view: &View, kind: Kind, x: f64) -> f64 {
+        self.fits[kind as usize].at(x) * view.pace[kind as usize]
+    }
+
+    /// Guards against a lagging fit: what has not ended yet bounds the pace from below.
+    fn predict_now(&self, view: &View, kind: Kind, x: f64, now: Time) -> f64 {
+        let behind = view.waiting().filter(|job| job.kind == kind).map(|job| {
+            let wanted = (job.due.saturating_sub(job.start) as f64).max(1.0);
+            now.saturating_sub(job.start) as f64 / wanted
+        });
+        self.predict(view, kind, x) * behind.fold(1.0, f64::max).min(10.0)
+    }
+
+    fn learn(&mut self, server: &ServerId, job: &Job, y: f64) {
+        let k = job.kind as usize;
+        let Some(view) = self.views.get_mut(server) else {
+            return;
+        };
+        let common = self.fits[k].at(job.x);
+        if common > 0.0 {
+            let ratio = (y / common).clamp(0.05, 20.0);
+            view.pace[k] += PACE_STEP * (ratio - view.pace[k]);
+        }
+        self.fits[k].learn(job.x, y / view.pace[k].max(0.05));
+    }
+
+    fn strike(&mut self, server: &ServerId, now: Time) {
+        let base = SUSPEND * self.set.classes.iter().map(|c| c.ttft_aim).min().unwrap_or(0) as f64;
+        if let Some(view) = self.views.get_mut(server) {
+            let span = base * f64::from(1u32 << view.strikes.min(SUSPEND_DOUBLINGS));
+            view.strikes += 1;
+            view.suspended = now + span as Time;
+        }
+    }
+
+    /// Running, not suspected, or a suspect whose time for one trial has come.
+    fn well(&self, view: &View, now: Time) -> bool {
+        if view.entry.listed != Listed::Running || !self.cold_room(view, now) {
+            return false;
+        }
+        let trial = view.strikes == 0 || (now >= view.suspended && view.waiting().next().is_none());
+        trial && !view.overdue(now)
+    }
+
+    /// Share of a writer's KV memory that is held: as reported, plus ours since; else from our own.
+    fn memory(&self, view: &View, now: Time) -> f64 {
+        let kv = if view.kv > 0.0 { view.kv } else { return 0.0 };
+        let life = REPORT_LIFE * self.set.classes.iter().map(|c| c.ttft_aim).min().unwrap_or(0) as f64;
+        match view.report {
+            Some((share, at)) if (now - at) as f64 <= life => {
+                let since: f64 = view.jobs.values().filter(|j| j.sent > at).map(|j| j.tokens).sum();
+                share + since / kv
+            }
+            _ => view.tokens() * f64::from(self.set.fronts) / kv,
+        }
+    }
+
+    fn slack(&self, view: &View, now: Time) -> f64 {
+        let slack = view
+            .jobs
+            .values()
+            .filter(|job| job.kind != Kind::Read)
+            .map(|job| match job.first {
+                Some(first) => (now - first) as f64 * (1.0 / NOMINAL - 1.0) - job.charged,
+                None if job.kind == Kind::Whole => 0.0,
+                None => job.aim,
+            });
+        slack.fold(f64::MAX, f64::min)
+    }
+
+    // ---- Requests coming and going ----
+
+    fn arrived(&mut self, now: Time, ask: Arrival) {
+        let Some(class) = self.set.classes.get(ask.class) else {
+            return self.hold_unknown(now, ask);
+        };
+        let aim = class.ttft_aim as f64 + class.ttft_aim_per_1000 * ask.prompt / 1000.0;
+        let mut over = false;
+        if let (Some(tenant), Some((level, at))) =
+            (self.set.tenants.get(ask.tenant), self.quota.get_mut(ask.tenant))
+        {
+            // A bucket of two seconds of this front's part of the tenant's share.
+            let rate = tenant.quota_per_s / f64::from(self.set.fronts);
+            *level = (*level - rate * (now - *at) as f64 / 1e6).max(0.0) + 1.0;
+            *at = now;
+            over = *level > 2.0 * rate + 1.0;
+            if over {
+                *level -= 1.0;
+            }
+        }
+        self.take(now, ask, aim, over);
+    }
+
+    fn hold_unknown(&mut self, now: Time, ask: Arrival) {
+        let aim = ask.time_left as f64;
+        self.take(now, ask, aim, true);
+    }
+
+    fn take(&mut self, now: Time, ask: Arrival, aim: f64, over: bool) {
+        let id = ask.id;
+        let request = Request {
+            arrived: now,
+            deadline: now + ask.time_left,
+            aim,
+            over,
+            tries: 0,
+            reads: 0,
+            out: None,
+            state: None,
+            pinned: false,
+            streaming: false,
+            ended: false,
+            ran: None,
+            avoid: BTreeSet::new(),
+            ask,
+        };
+        self.requests.insert(id, request);
+        self.held.insert(id);
+    }
+
+    fn first(&mut self, now: Time, id: ReqId, server: &ServerId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.streaming = true;
+        (request.state, request.pinned) = (None, false);
+        let Some(view) = self.views.get_mut(server) else {
+            return;
+        };
+        (view.strikes, view.suspended) = (0, 0);
+        let Some(job) = view.jobs.get_mut(&id) else { return };
+        job.first = Some(now);
+        let job = job.clone();
+        if job.kind == Kind::Whole {
+            let spent = now - job.start;
+            for other in view
+                .jobs
+                .values_mut()
+                .filter(|other| other.first.is_some_and(|f| f < now))
+            {
+                other.charged += spent as f64;
+            }
+            view.remember(&request.ask, job.tokens, now);
+        }
+        self.learn(server, &job, (now - job.start) as f64);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        now: Time,
+        id: ReqId,
+        server: &ServerId,
+        outcome: Outcome,
+        settled: bool,
+        note: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let job = self.views.get_mut(server).and_then(|view| view.jobs.remove(&id));
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.out = None;
+        let whole = job.as_ref().is_some_and(|job| job.kind != Kind::Read);
+        match outcome {
+            Outcome::Read => {
+                request.state = Some((server.clone(), now));
+                if let (Some(view), Some(job)) = (self.views.get_mut(server), &job) {
+                    let start = job.start.max(view.last_read_end);
+                    view.last_read_end = now;
+                    (view.strikes, view.suspended) = (0, 0);
+                    view.remember(&request.ask, note as f64, now);
+                    let x = (request.ask.prompt - note as f64).max(0.0);
+                    self.learn(server, &Job { x, ..job.clone() }, (now - start.min(now)) as f64);
+                }
+            }
+            Outcome::Served | Outcome::NotSent | Outcome::Cancelled => {}
+            Outcome::Full if note == 1 => request.state = None,
+            _ => {
+                request.avoid.insert(server.clone());
+                self.strike(server, now);
+            }
+        }
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if whole && !outcome.never_ran() && request.ran.is_none() {
+            request.ran = Some((server.clone(), job.map_or(now, |job| job.sent)));
+        }
+        if settled || request.ended {
+            if request.pinned {
+                out.push(Action::Release { id });
+            }
+            self.requests.remove(&id);
+        } else if outcome == Outcome::NotSent || now >= request.deadline {
+            self.finish(now, id, out);
+        } else if request.state.is_none() || !self.hand_over(now, id, out) {
+            if self.may_send(now, id, None) {
+                self.held.insert(id);
+            } else {
+                self.finish(now, id, out);
+            }
+        }
+    }
+
+    fn gone(&mut self, id: ReqId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.ended = true;
+        self.held.remove(&id);
+        if request.pinned {
+            out.push(Action::Release { id });
+        }
+        match &request.out {
+            Some((_, attempt)) if self.set.may_cancel => {
+                out.push(Action::Cancel {
+                    id,
+                    attempt: *attempt,
+                });
+            }
+            Some(_) => {}
+            None => {
+                self.requests.remove(&id);
+            }
+        }
+    }
+
+    fn sweep(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.asked.is_some_and(|at| now >= at) {
+            self.asked = Some(now + self.set.ask_within / 4);
+            out.push(Action::Subscribe);
+        }
+        let keep = (LET_GO * self.set.let_go_by as f64) as Time;
+        let stuck: Vec<ReqId> = self.held.iter().copied().collect();
+        for id in stuck {
+            let Some(request) = self.requests.get_mut(&id) else {
+                continue;
+            };
+            if request
+                .state
+                .as_ref()
+                .is_some_and(|(_, since)| now >= since + keep)
+            {
+                request.state = None;
+                out.push(Action::Release { id });
+            }
+        }
+    }
+
+    // ---- The dispatcher ----
+
+    /// Places what is held, the most worthy first; refuses what has waited long enough.
+    fn dispatch_held(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut queue: Vec<(bool, i64, Time, ReqId)> = Vec::new();
+        for id in &self.held {
+            let Some(request) = self.requests.get(id) else {
+                continue;
+            };
+            let worth = self
+                .set
+                .classes
+                .get(request.ask.class)
+                .map_or(0.0, |class| class.worth);
+            queue.push((request.over, -(worth * 1000.0) as i64, request.arrived, *id));
+        }
+        queue.sort_unstable();
+        for (_, _, _, id) in queue {
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            let has_state = request.state.is_some();
+            if has_state && self.hand_over(now, id, out) {
+                continue;
+            }
+            if !has_state && let Some((server, kind)) = self.place(now, id) {
+                self.send(now, id, &server, kind, out);
+                continue;
+            }
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            let last = request
+                .deadline
+                .saturating_sub(4 * self.set.tick + self.set.answer_slack);
+            let wait_end = if request.tries == 0 {
+                last.min(request.arrived + (HOLD * request.aim) as Time)
+            } else {
+                last
+            };
+            if now >= wait_end && !has_state {
+                self.finish(now, id, out);
+            }
+        }
+    }
+
+    /// Rules 1, 2 and 3 in this order; `None` holds the request.
+    fn place(&mut self, now: Time, id: ReqId) -> Option<(ServerId, Kind)> {
+        let salt = self.random();
+        let request = self.requests.get(&id)?;
+        let age = (now - request.arrived) as f64;
+        let left = if age < request.aim {
+            request.aim - age
+        } else {
+            (request.deadline - now) as f64
+        };
+        let tries = self.set.most_tries.saturating_sub(request.tries);
+        let fits = |view: &&View| {
+            self.well(view, now)
+                && !request.avoid.contains(&view.entry.server)
+                && self.may_send(now, id, Some(view))
+        };
+        let writers: Vec<&View> = self
+            .views
+            .values()
+            .filter(|v| v.role != Role::Prefill)
+            .filter(fits)
+            .collect();
+        let readers: Vec<&View> = self
+            .views
+            .values()
+            .filter(|v| v.role == Role::Prefill)
+            .filter(fits)
+            .collect();
+        let room: Vec<&View> = writers
+            .iter()
+            .copied()
+            .filter(|v| self.memory(v, now) < MARK)
+            .collect();
+        let read_time = |view: &View, kind: Kind| {
+            let x = (request.ask.prompt - view.kept(&request.ask)).max(0.0);
+            self.predict_now(view, kind, x, now)
+        };
+        let best = |of: Vec<(f64, &View)>| {
+            let count = of.len() as f64;
+            let turn = (salt * count) as usize;
+            let all: Vec<(f64, &View)> = of;
+            let n = all.len();
+            (0..n)
+                .map(|i| &all[(i + turn) % n])
+                .min_by(|a, b| (a.0 * 20.0).round().total_cmp(&(b.0 * 20.0).round()))
+                .map(|(_, view)| view.entry.server.clone())
+        };
+        if tries >= 2 && !room.is_empty() {
+            // Rule 1: an idle reader.
+            let idle = readers.iter().filter(|v| v.jobs.is_empty());
+            let idle = idle
+                .map(|v| (read_time(v, Kind::Read) / request.aim.max(1.0), *v))
+                .collect();
+            if let Some(server) = best(idle) {
+                return Some((server, Kind::Read));
+            }
+            // Rule 2: a running reader with nothing waiting that will be on time. A predicted end
+            // that has passed is no evidence of that.
+            let running = readers.iter().filter_map(|v| {
+                let due = v
+                    .jobs
+                    .values()
+                    .map(|job| job.due)
+                    .max()
+                    .filter(|_| v.jobs.len() == 1)?;
+                let end = due.checked_sub(now)? as f64 + read_time(v, Kind::Read);
+                (end <= left).then_some((end / request.aim.max(1.0), *v))
+            });
+            if let Some(server) = best(running.collect()) {
+                return Some((server, Kind::Read));
+            }
+        }
+        // Rule 3: a writer under its memory mark whose streams all have slack above this read.
+        let absorbing = room
+            .iter()
+            .filter(|v| v.role == Role::Mixed || self.set.writers_read);
+        let absorbing = absorbing.filter_map(|v| {
+            let time = read_time(v, Kind::Whole);
+            (time <= left && self.slack(v, now) > time).then_some((time / request.aim.max(1.0), *v))
+        });
+        best(absorbing.collect()).map(|server| (server, Kind::Whole))
+    }
+
+    // ---- The writer pick ----
+
+    /// Sends a read request on to the writer with the fewest own tokens running.
+    fn hand_over(&mut self, now: Time, id: ReqId, out: &mut Vec<Action>) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let Some((reader, _)) = &request.state else {
+            return false;
+        };
+        let cell = self.views.get(reader).map(|view| view.entry.cell);
+        let near = |view: &View| cell.is_none_or(|cell| cell == view.entry.cell);
+        let candidates = self
+            .views
+            .values()
+            .filter(|v| v.role != Role::Prefill && self.may_send(now, id, Some(v)) && self.cold_room(v, now));
+        let key = |view: &View| {
+            let handicap = if near(view) {
+                0.0
+            } else {
+                FAR_HANDICAP * request.ask.prompt
+            };
+            let poor = u32::from(!self.well(view, now))
+                + u32::from(view.strikes > 0)
+                + u32::from(request.avoid.contains(&view.entry.server));
+            (poor, self.memory(view, now) >= MARK, view.tokens() + handicap)
+        };
+        let best = candidates
+            .map(|v| (key(v), v))
+            .min_by(|(a, _), (b, _)| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+        let Some((server, kind)) = best.map(|(_, v)| {
+            (
+                v.entry.server.clone(),
+                if near(v) { Kind::Near } else { Kind::Far },
+            )
+        }) else {
+            return false;
+        };
+        self.send(now, id, &server, kind, out)
+    }
+
+    // ---- Guards: every send and every final answer passes here ----
+
+    /// Whether another attempt is allowed, at any server or at this one.
+    fn may_send(&self, now: Time, id: ReqId, to: Option<&View>) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let open = !request.ended
+            && !request.streaming
+            && request.out.is_none()
+            && request.tries < self.set.most_tries
+            && now < request.deadline
+            && to.is_none_or(|view| view.entry.listed == Listed::Running);
+        let effect = match (
+            &request.ran,
+            self.set.classes.get(request.ask.class).map(|c| c.repeat),
+        ) {
+            (None, _) | (_, Some(Repeat::Safe)) => true,
+            (Some((first, sent)), Some(Repeat::Keyed { group, memory })) => {
+                // Kept well inside the span: the send has to arrive in it, too.
+                let inside = now + self.set.connect_timeout + 4 * self.set.tick < sent + memory;
+                let same = |to: &View| match (group, self.views.get(first)) {
+                    (Group::All, _) => true,
+                    (Group::Zone, Some(of)) => of.entry.zone == to.entry.zone,
+                    (Group::Cell, Some(of)) => of.entry.cell == to.entry.cell,
+                    (_, None) => false,
+                };
+                inside && to.is_none_or(same)
+            }
+            _ => false,
+        };
+        open && effect
+    }
+
+    /// Guards a server that has just started: our part of what it can take in any window.
+    fn cold_room(&self, view: &View, now: Time) -> bool {
+        let cold = |v: &View| v.entry.ready_at > 0 && now < v.entry.ready_at + self.set.cold_for;
+        if !cold(view) {
+            return true;
+        }
+        let from = now.saturating_sub(self.set.tip_after);
+        let count = |v: &View| v.sends.iter().filter(|at| **at >= from).count() as f64;
+        let warm: Vec<f64> = self
+            .views
+            .values()
+            .filter(|v| v.role == view.role && !cold(v))
+            .map(count)
+            .collect();
+        let mean = warm.iter().sum::<f64>() / (warm.len() as f64).max(1.0);
+        count(view) + 1.0 <= (COLD_USE * self.set.fall_multiple * self.set.cold_from * mean).max(1.0)
+    }
+
+    fn send(&mut self, now: Time, id: ReqId, server: &ServerId, kind: Kind, out: &mut Vec<Action>) -> bool {
+        let Some(view) = self.views.get(server) else {
+            return false;
+        };
+        if !self.may_send(now, id, Some(view)) || !self.cold_room(view, now) {
+            return false;
+        }
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let x = match kind {
+            Kind::Read | Kind::Whole => (request.ask.prompt - view.kept(&request.ask)).max(0.0),
+            Kind::Near | Kind::Far => request.ask.prompt,
+        };
+        let time = self.predict_now(view, kind, x, now);
+        let start = match kind {
+            Kind::Read => view
+                .jobs
+                .values()
+                .map(|job| job.due)
+                .max()
+                .map_or(now, |due| due.max(now)),
+            _ => now,
+        };
+        let class = self.set.classes.get(request.ask.class);
+        let tpot = class.map_or(0.0, |class| class.tpot_aim);
+        let answer = if request.ask.hint > 0 && tpot > 0.0 {
+            request.ask.hint as f64 / tpot
+        } else {
+            request.ask.max_out / 2.0
+        };
+        let effect = kind != Kind::Read && class.is_none_or(|class| class.repeat == Repeat::Unsafe);
+        let patience = (GIVE_UP * time + (start - now) as f64).max(GIVE_UP_AIM * request.aim)
+            * f64::from(1u32 << request.tries.min(4));
+        let left = request.deadline - now;
+        let timeout = if effect {
+            left
+        } else {
+            left.min(patience as Time).max(1)
+        };
+        let job = Job {
+            kind,
+            attempt: request.tries,
+            sent: now,
+            start,
+            due: start + time as Time,
+            x,
+            tokens: request.ask.prompt + if kind == Kind::Read { 0.0 } else { answer },
+            aim: request.aim,
+            first: None,
+            tpot,
+            charged: 0.0,
+        };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        request.out = Some((server.clone(), request.tries));
+        request.tries += 1;
+        request.reads += u32::from(kind == Kind::Read);
+        request.pinned |= kind == Kind::Read;
+        self.held.remove(&id);
+        if let Some(view) = self.views.get_mut(server) {
+            view.jobs.insert(id, job);
+            view.sends.push_back(now);
+            while view.sends.front().is_some_and(|at| at + self.set.tip_after < now) {
+                view.sends.pop_front();
+            }
+        }
+        out.push(Action::Send {
+            id,
+            server: server.clone(),
+            timeout,
+        });
+        true
+    }
+
+    /// The one final answer: a refusal where nothing can have run (or repeats are harmless), else a failure.
+    fn finish(&mut self, now: Time, id: ReqId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        self.held.remove(&id);
+        if request.pinned {
+            out.push(Action::Release { id });
+        }
+        if request.ended {
+            return;
+        }
+        let harmless = match self.set.classes.get(request.ask.class).map(|class| class.repeat) {
+            Some(Repeat::Safe) => true,
+            Some(Repeat::Keyed {
+                group: Group::All,
+                memory,
+            }) => request.ran.as_ref().is_none_or(|(_, sent)| now < sent + memory),
+            _ => request.ran.is_none(),
+        };
+        if harmless {
+            let share = 0.5 + 0.5 * self.random();
+            let retry_after = if self.set.may_advise {
+                (share * self.set.max_retry_after as f64) as Time
+            } else {
+                0
+            };
+            out.push(Action::Refuse { id, retry_after });
+        } else {
+            out.push(Action::Fail { id });
+        }
+    }
+}
