--- a/src/api.rs
+++ b/src/api.rs
@@ -207,10 +207,7 @@
 impl Outcome {
     /// Proves that the attempt had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(
-            self,
-            Outcome::Full | Outcome::NoConnection | Outcome::NotSent | Outcome::Read
-        )
+        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::NotSent | Outcome::Read)
     }
 }
 
--- a/src/bin/elderstage-simhost/main.rs
+++ b/src/bin/elderstage-simhost/main.rs
@@ -70,16 +70,12 @@
                 self.close_list();
             }
             "ATTACH" => {
-                let who = self
-                    .current
-                    .ok_or_else(|| Fail::new("who", "no AT line names the instance"))?;
+                let who = self.current.ok_or_else(|| Fail::new("who", "no AT line names the instance"))?;
                 let router = Router::new(settings::read(line.text("profile-data")?)?, line.int("salt")?);
                 self.routers.insert(who, router);
             }
             "HALT" => {
-                let who = self
-                    .current
-                    .ok_or_else(|| Fail::new("who", "no AT line names the instance"))?;
+                let who = self.current.ok_or_else(|| Fail::new("who", "no AT line names the instance"))?;
                 self.routers
                     .remove(&who)
                     .ok_or_else(|| Fail::new("who", format!("{who} is not attached")))?;
@@ -92,10 +88,7 @@
                 } else {
                     let list = line.int("list")?;
                     let found = self.lists.get(&list);
-                    found
-                        .ok_or_else(|| Fail::new("list", format!("no list {list}")))?
-                        .as_ref()
-                        .clone()
+                    found.ok_or_else(|| Fail::new("list", format!("no list {list}")))?.as_ref().clone()
                 };
                 self.pass(Event::Servers { mode, entries })?;
             }
@@ -115,20 +108,11 @@
     }
 
     fn pass(&mut self, event: Event) -> Result<(), Fail> {
-        let who = self
-            .current
-            .ok_or_else(|| Fail::new("who", "no AT line names the instance"))?;
-        let now = self
-            .now
-            .ok_or_else(|| Fail::new("MARK", "the event is outside a batch"))?;
+        let who = self.current.ok_or_else(|| Fail::new("who", "no AT line names the instance"))?;
+        let now = self.now.ok_or_else(|| Fail::new("MARK", "the event is outside a batch"))?;
         let router = self.routers.get_mut(&who);
         let router = router.ok_or_else(|| Fail::new("who", format!("{who} is not attached")))?;
-        if let Event::Ended {
-            outcome: Outcome::Served,
-            settled: false,
-            ..
-        } = &event
-        {
+        if let Event::Ended { outcome: Outcome::Served, settled: false, .. } = &event {
             return Err(Fail::new("settled", "an OK always settles its request"));
         }
         if self.reply.last().is_none_or(|(of, _)| *of != who) {
@@ -164,12 +148,7 @@
             eprintln!("elderstage-simhost: line {number}: {fail}");
             return ExitCode::FAILURE;
         }
-        if !out.is_empty()
-            && output
-                .write_all(out.as_bytes())
-                .and_then(|()| output.flush())
-                .is_err()
-        {
+        if !out.is_empty() && output.write_all(out.as_bytes()).and_then(|()| output.flush()).is_err() {
             eprintln!("elderstage-simhost: line {number}: cannot write the reply");
             return ExitCode::FAILURE;
         }
--- a/src/bin/elderstage-simhost/settings.rs
+++ b/src/bin/elderstage-simhost/settings.rs
@@ -14,22 +14,12 @@
 
 impl<'a> At<'a> {
     fn get(&self, key: &str) -> At<'a> {
-        let path = if self.path.is_empty() {
-            key.to_string()
-        } else {
-            format!("{}.{key}", self.path)
-        };
-        At {
-            value: self.value.get(key).unwrap_or(&Value::Null),
-            path,
-        }
+        let path = if self.path.is_empty() { key.to_string() } else { format!("{}.{key}", self.path) };
+        At { value: self.value.get(key).unwrap_or(&Value::Null), path }
     }
 
     fn wrong<T>(&self, wanted: &str) -> Result<T, Fail> {
-        Err(Fail::new(
-            format!("profile-data {}", self.path),
-            format!("{} is not {wanted}", self.value),
-        ))
+        Err(Fail::new(format!("profile-data {}", self.path), format!("{} is not {wanted}", self.value)))
     }
 
     fn number(&self, absent: f64) -> Result<f64, Fail> {
@@ -73,10 +63,7 @@
         match self.value {
             Value::Null => Ok(Vec::new()),
             Value::Array(items) => {
-                let at = |(i, value)| At {
-                    value,
-                    path: format!("{}[{i}]", self.path),
-                };
+                let at = |(i, value)| At { value, path: format!("{}[{i}]", self.path) };
                 Ok(items.iter().enumerate().map(at).collect())
             }
             _ => self.wrong("a list"),
@@ -87,10 +74,7 @@
 pub fn read(text: &str) -> Result<Settings, Fail> {
     let object: Value = serde_json::from_str(text)
         .map_err(|error| Fail::new("profile-data", format!("bad JSON: {error}")))?;
-    let root = At {
-        value: &object,
-        path: String::new(),
-    };
+    let root = At { value: &object, path: String::new() };
     if !object.is_object() {
         return root.wrong("an object");
     }
@@ -102,9 +86,7 @@
         }
     }
     let nth = |at: &At, index: usize, absent: f64| -> Result<f64, Fail> {
-        at.list()?
-            .get(index)
-            .map_or(Ok(absent), |item| item.number(absent))
+        at.list()?.get(index).map_or(Ok(absent), |item| item.number(absent))
     };
     let mut classes = Vec::new();
     for (index, class) in root.get("services").list()?.iter().enumerate() {
@@ -117,10 +99,7 @@
         };
         let repeat = match class.get("semantics").word()? {
             "pure" => Repeat::Safe,
-            "token" => Repeat::Keyed {
-                group,
-                memory: class.get("memory-span-us").whole(0)?,
-            },
+            "token" => Repeat::Keyed { group, memory: class.get("memory-span-us").whole(0)? },
             "" | "side_effect" => Repeat::Unsafe,
             _ => return class.get("semantics").wrong("pure, token or side_effect"),
         };
@@ -135,9 +114,7 @@
     }
     let mut tenants = Vec::new();
     for tenant in root.get("orgs").list()? {
-        tenants.push(Tenant {
-            quota_per_s: tenant.get("quota-per-s").number(f64::MAX)?,
-        });
+        tenants.push(Tenant { quota_per_s: tenant.get("quota-per-s").number(f64::MAX)? });
     }
     let mut roles = Vec::new();
     for role in domain.get("kind-role").list()? {
--- a/src/bin/elderstage-simhost/wire.rs
+++ b/src/bin/elderstage-simhost/wire.rs
@@ -13,10 +13,7 @@
 
 impl Fail {
     pub fn new(field: impl Into<String>, what: impl Into<String>) -> Fail {
-        Fail {
-            field: field.into(),
-            what: what.into(),
-        }
+        Fail { field: field.into(), what: what.into() }
     }
 }
 
@@ -66,11 +63,8 @@
             if key.is_empty() || key.contains(' ') {
                 return Err(Fail::new(key, "is no name=value pair"));
             }
-            let (value, tail) = if TO_END.contains(&key) {
-                (tail, "")
-            } else {
-                tail.split_once(' ').unwrap_or((tail, ""))
-            };
+            let (value, tail) =
+                if TO_END.contains(&key) { (tail, "") } else { tail.split_once(' ').unwrap_or((tail, "")) };
             fields.push((key, value));
             rest = tail;
         }
@@ -78,10 +72,7 @@
     }
 
     fn find(&self, key: &str) -> Option<&'a str> {
-        self.fields
-            .iter()
-            .find(|(name, _)| *name == key)
-            .map(|(_, value)| *value)
+        self.fields.iter().find(|(name, _)| *name == key).map(|(_, value)| *value)
     }
 
     pub fn text(&self, key: &str) -> Result<&'a str, Fail> {
@@ -129,10 +120,7 @@
     }
 
     fn load(&self) -> Result<Option<Vec<f64>>, Fail> {
-        let Some(row) = self
-            .find("health-info")
-            .filter(|row| !row.is_empty() && *row != "-")
-        else {
+        let Some(row) = self.find("health-info").filter(|row| !row.is_empty() && *row != "-") else {
             return Ok(None);
         };
         let values = row.split(',').map(|value| match value.parse::<f64>() {
@@ -237,9 +225,7 @@
             server: line.server()?,
             held: line.int("what")? == 1,
         },
-        "DEADLINE_HIT" => Event::Timer {
-            name: line.int("name")?,
-        },
+        "DEADLINE_HIT" => Event::Timer { name: line.int("name")? },
         _ => return Ok(None),
     }))
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -86,11 +86,7 @@
         }
         let (mx, my) = (self.x / self.n, self.y / self.n);
         let spread = self.xx / self.n - mx * mx;
-        let slope = if spread > 1.0 {
-            (self.xy / self.n - mx * my) / spread
-        } else {
-            0.0
-        };
+        let slope = if spread > 1.0 { (self.xy / self.n - mx * my) / spread } else { 0.0 };
         let slope = slope.clamp(0.0, if mx > 0.0 { my / mx } else { 0.0 });
         my + slope * (x - mx)
     }
@@ -100,7 +96,6 @@
 #[derive(Clone)]
 struct Job {
     kind: Kind,
-    attempt: u32,
     sent: Time,
     /// When its work is held to have begun, and to end.
     start: Time,
@@ -109,7 +104,6 @@
     tokens: f64,
     aim: f64,
     first: Option<Time>,
-    tpot: f64,
     /// Read time of ours that has stalled this stream.
     charged: f64,
 }
@@ -148,9 +142,7 @@
 
     fn kept(&self, ask: &Arrival) -> f64 {
         let of = |key: &Option<TextKey>, most: f64| {
-            key.as_ref()
-                .and_then(|key| self.kept.get(key))
-                .map_or(0.0, |(tokens, _)| tokens.min(most))
+            key.as_ref().and_then(|key| self.kept.get(key)).map_or(0.0, |(tokens, _)| tokens.min(most))
         };
         of(&ask.session, ask.prompt).max(of(&ask.prefix, ask.shared))
     }
@@ -163,8 +155,7 @@
             }
         }
         if found + 1.0 < ask.shared {
-            self.kept
-                .retain(|key, (_, at)| *at == now || Some(key) == ask.session.as_ref());
+            self.kept.retain(|key, (_, at)| *at == now || Some(key) == ask.session.as_ref());
         }
         if self.kept.len() > KEPT_MOST {
             let mut times: Vec<Time> = self.kept.values().map(|(_, at)| *at).collect();
@@ -233,15 +224,7 @@
             Event::Servers { mode, entries } => self.servers(now, mode, entries, out),
             Event::Arrived(ask) => self.arrived(now, ask),
             Event::Streaming { id, server, .. } => self.first(now, id, &server),
-            Event::Ended {
-                id,
-                server,
-                outcome,
-                settled,
-                note,
-                load,
-                ..
-            } => {
+            Event::Ended { id, server, outcome, settled, note, load, .. } => {
                 self.report(now, &server, load);
                 self.ended(now, id, &server, outcome, settled, note, out);
             }
@@ -268,11 +251,14 @@
         let open = self.requests.values().any(|r| !r.streaming && !r.ended);
         if !self.armed && (open || self.asked.is_some()) {
             self.armed = true;
-            let after = (self.set.let_go_by / 10).max(self.set.tick).max(1);
-            out.push(Action::Timer { after, name: SWEEP });
+            out.push(Action::Timer { after: self.sweep_every(), name: SWEEP });
         }
     }
 
+    fn sweep_every(&self) -> Time {
+        (self.set.let_go_by / 10).max(self.set.tick).max(1)
+    }
+
     // ---- The monitor ----
 
     fn servers(&mut self, now: Time, mode: ListMode, entries: Vec<Entry>, out: &mut Vec<Action>) {
@@ -317,8 +303,7 @@
             }
             (view.entry, view.role, view.kv) = (entry, role, kv);
         }
-        self.views
-            .retain(|_, view| view.entry.listed != Listed::Gone || !view.jobs.is_empty());
+        self.views.retain(|_, view| view.entry.listed != Listed::Gone || !view.jobs.is_empty());
     }
 
     fn report(&mut self, now: Time, server: &ServerId, load: Option<Vec<f64>>) {
@@ -392,15 +377,11 @@
     }
 
     fn slack(&self, view: &View, now: Time) -> f64 {
-        let slack = view
-            .jobs
-            .values()
-            .filter(|job| job.kind != Kind::Read)
-            .map(|job| match job.first {
-                Some(first) => (now - first) as f64 * (1.0 / NOMINAL - 1.0) - job.charged,
-                None if job.kind == Kind::Whole => 0.0,
-                None => job.aim,
-            });
+        let slack = view.jobs.values().filter(|job| job.kind != Kind::Read).map(|job| match job.first {
+            Some(first) => (now - first) as f64 * (1.0 / NOMINAL - 1.0) - job.charged,
+            None if job.kind == Kind::Whole => 0.0,
+            None => job.aim,
+        });
         slack.fold(f64::MAX, f64::min)
     }
 
@@ -469,11 +450,7 @@
         let job = job.clone();
         if job.kind == Kind::Whole {
             let spent = now - job.start;
-            for other in view
-                .jobs
-                .values_mut()
-                .filter(|other| other.first.is_some_and(|f| f < now))
-            {
+            for other in view.jobs.values_mut().filter(|other| other.first.is_some_and(|f| f < now)) {
                 other.charged += spent as f64;
             }
             view.remember(&request.ask, job.tokens, now);
@@ -497,6 +474,9 @@
             return;
         };
         request.out = None;
+        if let Some((_, since)) = &mut request.state {
+            *since = now;
+        }
         let whole = job.as_ref().is_some_and(|job| job.kind != Kind::Read);
         match outcome {
             Outcome::Read => {
@@ -511,7 +491,11 @@
                 }
             }
             Outcome::Served | Outcome::NotSent | Outcome::Cancelled => {}
-            Outcome::Full if note == 1 => request.state = None,
+            Outcome::Full if note == 1 => {
+                // The state may only be out of reach, behind a cut: let go of it before reading anew.
+                request.state = None;
+                out.push(Action::Release { id });
+            }
             _ => {
                 request.avoid.insert(server.clone());
                 self.strike(server, now);
@@ -550,10 +534,7 @@
         }
         match &request.out {
             Some((_, attempt)) if self.set.may_cancel => {
-                out.push(Action::Cancel {
-                    id,
-                    attempt: *attempt,
-                });
+                out.push(Action::Cancel { id, attempt: *attempt });
             }
             Some(_) => {}
             None => {
@@ -573,11 +554,7 @@
             let Some(request) = self.requests.get_mut(&id) else {
                 continue;
             };
-            if request
-                .state
-                .as_ref()
-                .is_some_and(|(_, since)| now >= since + keep)
-            {
+            if request.state.as_ref().is_some_and(|(_, since)| now >= since + keep) {
                 request.state = None;
                 out.push(Action::Release { id });
             }
@@ -593,11 +570,7 @@
             let Some(request) = self.requests.get(id) else {
                 continue;
             };
-            let worth = self
-                .set
-                .classes
-                .get(request.ask.class)
-                .map_or(0.0, |class| class.worth);
+            let worth = self.set.classes.get(request.ask.class).map_or(0.0, |class| class.worth);
             queue.push((request.over, -(worth * 1000.0) as i64, request.arrived, *id));
         }
         queue.sort_unstable();
@@ -616,15 +589,13 @@
             let Some(request) = self.requests.get(&id) else {
                 continue;
             };
-            let last = request
-                .deadline
-                .saturating_sub(4 * self.set.tick + self.set.answer_slack);
+            let last = request.deadline.saturating_sub(2 * self.sweep_every());
             let wait_end = if request.tries == 0 {
                 last.min(request.arrived + (HOLD * request.aim) as Time)
             } else {
                 last
             };
-            if now >= wait_end && !has_state {
+            if now >= last || (now >= wait_end && !has_state) {
                 self.finish(now, id, out);
             }
         }
@@ -635,34 +606,19 @@
         let salt = self.random();
         let request = self.requests.get(&id)?;
         let age = (now - request.arrived) as f64;
-        let left = if age < request.aim {
-            request.aim - age
-        } else {
-            (request.deadline - now) as f64
-        };
+        let left =
+            if age < request.aim { request.aim - age } else { request.deadline.saturating_sub(now) as f64 };
         let tries = self.set.most_tries.saturating_sub(request.tries);
         let fits = |view: &&View| {
             self.well(view, now)
                 && !request.avoid.contains(&view.entry.server)
                 && self.may_send(now, id, Some(view))
         };
-        let writers: Vec<&View> = self
-            .views
-            .values()
-            .filter(|v| v.role != Role::Prefill)
-            .filter(fits)
-            .collect();
-        let readers: Vec<&View> = self
-            .views
-            .values()
-            .filter(|v| v.role == Role::Prefill)
-            .filter(fits)
-            .collect();
-        let room: Vec<&View> = writers
-            .iter()
-            .copied()
-            .filter(|v| self.memory(v, now) < MARK)
-            .collect();
+        let writers: Vec<&View> =
+            self.views.values().filter(|v| v.role != Role::Prefill).filter(fits).collect();
+        let readers: Vec<&View> =
+            self.views.values().filter(|v| v.role == Role::Prefill).filter(fits).collect();
+        let room: Vec<&View> = writers.iter().copied().filter(|v| self.memory(v, now) < MARK).collect();
         let read_time = |view: &View, kind: Kind| {
             let x = (request.ask.prompt - view.kept(&request.ask)).max(0.0);
             self.predict_now(view, kind, x, now)
@@ -680,21 +636,14 @@
         if tries >= 2 && !room.is_empty() {
             // Rule 1: an idle reader.
             let idle = readers.iter().filter(|v| v.jobs.is_empty());
-            let idle = idle
-                .map(|v| (read_time(v, Kind::Read) / request.aim.max(1.0), *v))
-                .collect();
+            let idle = idle.map(|v| (read_time(v, Kind::Read) / request.aim.max(1.0), *v)).collect();
             if let Some(server) = best(idle) {
                 return Some((server, Kind::Read));
             }
             // Rule 2: a running reader with nothing waiting that will be on time. A predicted end
             // that has passed is no evidence of that.
             let running = readers.iter().filter_map(|v| {
-                let due = v
-                    .jobs
-                    .values()
-                    .map(|job| job.due)
-                    .max()
-                    .filter(|_| v.jobs.len() == 1)?;
+                let due = v.jobs.values().map(|job| job.due).max().filter(|_| v.jobs.len() == 1)?;
                 let end = due.checked_sub(now)? as f64 + read_time(v, Kind::Read);
                 (end <= left).then_some((end / request.aim.max(1.0), *v))
             });
@@ -703,9 +652,7 @@
             }
         }
         // Rule 3: a writer under its memory mark whose streams all have slack above this read.
-        let absorbing = room
-            .iter()
-            .filter(|v| v.role == Role::Mixed || self.set.writers_read);
+        let absorbing = room.iter().filter(|v| v.role == Role::Mixed || self.set.writers_read);
         let absorbing = absorbing.filter_map(|v| {
             let time = read_time(v, Kind::Whole);
             (time <= left && self.slack(v, now) > time).then_some((time / request.aim.max(1.0), *v))
@@ -730,11 +677,7 @@
             .values()
             .filter(|v| v.role != Role::Prefill && self.may_send(now, id, Some(v)) && self.cold_room(v, now));
         let key = |view: &View| {
-            let handicap = if near(view) {
-                0.0
-            } else {
-                FAR_HANDICAP * request.ask.prompt
-            };
+            let handicap = if near(view) { 0.0 } else { FAR_HANDICAP * request.ask.prompt };
             let poor = u32::from(!self.well(view, now))
                 + u32::from(view.strikes > 0)
                 + u32::from(request.avoid.contains(&view.entry.server));
@@ -743,12 +686,9 @@
         let best = candidates
             .map(|v| (key(v), v))
             .min_by(|(a, _), (b, _)| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
-        let Some((server, kind)) = best.map(|(_, v)| {
-            (
-                v.entry.server.clone(),
-                if near(v) { Kind::Near } else { Kind::Far },
-            )
-        }) else {
+        let Some((server, kind)) =
+            best.map(|(_, v)| (v.entry.server.clone(), if near(v) { Kind::Near } else { Kind::Far }))
+        else {
             return false;
         };
         self.send(now, id, &server, kind, out)
@@ -767,10 +707,7 @@
             && request.tries < self.set.most_tries
             && now < request.deadline
             && to.is_none_or(|view| view.entry.listed == Listed::Running);
-        let effect = match (
-            &request.ran,
-            self.set.classes.get(request.ask.class).map(|c| c.repeat),
-        ) {
+        let effect = match (&request.ran, self.set.classes.get(request.ask.class).map(|c| c.repeat)) {
             (None, _) | (_, Some(Repeat::Safe)) => true,
             (Some((first, sent)), Some(Repeat::Keyed { group, memory })) => {
                 // Kept well inside the span: the send has to arrive in it, too.
@@ -796,12 +733,8 @@
         }
         let from = now.saturating_sub(self.set.tip_after);
         let count = |v: &View| v.sends.iter().filter(|at| **at >= from).count() as f64;
-        let warm: Vec<f64> = self
-            .views
-            .values()
-            .filter(|v| v.role == view.role && !cold(v))
-            .map(count)
-            .collect();
+        let warm: Vec<f64> =
+            self.views.values().filter(|v| v.role == view.role && !cold(v)).map(count).collect();
         let mean = warm.iter().sum::<f64>() / (warm.len() as f64).max(1.0);
         count(view) + 1.0 <= (COLD_USE * self.set.fall_multiple * self.set.cold_from * mean).max(1.0)
     }
@@ -822,12 +755,7 @@
         };
         let time = self.predict_now(view, kind, x, now);
         let start = match kind {
-            Kind::Read => view
-                .jobs
-                .values()
-                .map(|job| job.due)
-                .max()
-                .map_or(now, |due| due.max(now)),
+            Kind::Read => view.jobs.values().map(|job| job.due).max().map_or(now, |due| due.max(now)),
             _ => now,
         };
         let class = self.set.classes.get(request.ask.class);
@@ -841,14 +769,9 @@
         let patience = (GIVE_UP * time + (start - now) as f64).max(GIVE_UP_AIM * request.aim)
             * f64::from(1u32 << request.tries.min(4));
         let left = request.deadline - now;
-        let timeout = if effect {
-            left
-        } else {
-            left.min(patience as Time).max(1)
-        };
+        let timeout = if effect { left } else { left.min(patience as Time).max(1) };
         let job = Job {
             kind,
-            attempt: request.tries,
             sent: now,
             start,
             due: start + time as Time,
@@ -856,7 +779,6 @@
             tokens: request.ask.prompt + if kind == Kind::Read { 0.0 } else { answer },
             aim: request.aim,
             first: None,
-            tpot,
             charged: 0.0,
         };
         let Some(request) = self.requests.get_mut(&id) else {
@@ -874,11 +796,7 @@
                 view.sends.pop_front();
             }
         }
-        out.push(Action::Send {
-            id,
-            server: server.clone(),
-            timeout,
-        });
+        out.push(Action::Send { id, server: server.clone(), timeout });
         true
     }
 
@@ -896,19 +814,15 @@
         }
         let harmless = match self.set.classes.get(request.ask.class).map(|class| class.repeat) {
             Some(Repeat::Safe) => true,
-            Some(Repeat::Keyed {
-                group: Group::All,
-                memory,
-            }) => request.ran.as_ref().is_none_or(|(_, sent)| now < sent + memory),
+            Some(Repeat::Keyed { group: Group::All, memory }) => {
+                request.ran.as_ref().is_none_or(|(_, sent)| now < sent + memory)
+            }
             _ => request.ran.is_none(),
         };
         if harmless {
             let share = 0.5 + 0.5 * self.random();
-            let retry_after = if self.set.may_advise {
-                (share * self.set.max_retry_after as f64) as Time
-            } else {
-                0
-            };
+            let retry_after =
+                if self.set.may_advise { (share * self.set.max_retry_after as f64) as Time } else { 0 };
             out.push(Action::Refuse { id, retry_after });
         } else {
             out.push(Action::Fail { id });
