--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,6 +39,8 @@
 const FAR_HANDICAP: f64 = 2.0;
 /// Places in a server's memory of kept texts; the oldest half goes when it is full.
 const KEPT_MOST: usize = 2000;
+/// Held requests that fit nowhere before the rest is left for the next event.
+const MISSES: u32 = 8;
 /// The one timer's name.
 const SWEEP: u64 = 1;
 
@@ -220,6 +222,7 @@
 
     /// Takes one event and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        let new = if let Event::Arrived(ask) = &event { Some(ask.id) } else { None };
         match event {
             Event::Servers { mode, entries } => self.servers(now, mode, entries, out),
             Event::Arrived(ask) => self.arrived(now, ask),
@@ -236,7 +239,7 @@
             }
             Event::Timer { .. } | Event::Place { .. } => {}
         }
-        self.dispatch_held(now, out);
+        self.dispatch_held(now, new, out);
         self.arm(out);
     }
 
@@ -248,8 +251,7 @@
     }
 
     fn arm(&mut self, out: &mut Vec<Action>) {
-        let open = self.requests.values().any(|r| !r.streaming && !r.ended);
-        if !self.armed && (open || self.asked.is_some()) {
+        if !self.armed && (!self.requests.is_empty() || self.asked.is_some()) {
             self.armed = true;
             out.push(Action::Timer { after: self.sweep_every(), name: SWEEP });
         }
@@ -332,6 +334,12 @@
         self.predict(view, kind, x) * behind.fold(1.0, f64::max).min(10.0)
     }
 
+    /// Time from a send with a state to the first token; what waits there longer bounds it from below.
+    fn hand_time(&self, view: &View, kind: Kind, x: f64, now: Time) -> f64 {
+        let ages = view.waiting().map(|job| now.saturating_sub(job.sent) as f64);
+        ages.fold(self.predict(view, kind, x), f64::max)
+    }
+
     fn learn(&mut self, server: &ServerId, job: &Job, y: f64) {
         let k = job.kind as usize;
         let Some(view) = self.views.get_mut(server) else {
@@ -548,6 +556,7 @@
             self.asked = Some(now + self.set.ask_within / 4);
             out.push(Action::Subscribe);
         }
+        let every = self.sweep_every();
         let keep = (LET_GO * self.set.let_go_by as f64) as Time;
         let stuck: Vec<ReqId> = self.held.iter().copied().collect();
         for id in stuck {
@@ -558,45 +567,38 @@
                 request.state = None;
                 out.push(Action::Release { id });
             }
+            // The wait ends early for what has not been tried; always before the client's time is up.
+            let last = request.deadline.saturating_sub(2 * every);
+            let early = request.arrived + (HOLD * request.aim) as Time;
+            if now >= last || (request.tries == 0 && now >= early) {
+                self.finish(now, id, out);
+            }
         }
     }
 
     // ---- The dispatcher ----
 
-    /// Places what is held, the most worthy first; refuses what has waited long enough.
-    fn dispatch_held(&mut self, now: Time, out: &mut Vec<Action>) {
+    /// Places what is held, the most worthy first. A request that has just come changes nothing for
+    /// the others. After some in a row that fit nowhere the rest wait for the next event.
+    fn dispatch_held(&mut self, now: Time, only: Option<ReqId>, out: &mut Vec<Action>) {
         let mut queue: Vec<(bool, i64, Time, ReqId)> = Vec::new();
-        for id in &self.held {
-            let Some(request) = self.requests.get(id) else {
-                continue;
-            };
+        for id in self.held.iter().filter(|id| only.is_none_or(|only| only == **id)) {
+            let Some(request) = self.requests.get(id) else { continue };
             let worth = self.set.classes.get(request.ask.class).map_or(0.0, |class| class.worth);
             queue.push((request.over, -(worth * 1000.0) as i64, request.arrived, *id));
         }
         queue.sort_unstable();
+        let mut misses = 0;
         for (_, _, _, id) in queue {
-            let Some(request) = self.requests.get(&id) else {
-                continue;
-            };
-            let has_state = request.state.is_some();
-            if has_state && self.hand_over(now, id, out) {
-                continue;
-            }
-            if !has_state && let Some((server, kind)) = self.place(now, id) {
-                self.send(now, id, &server, kind, out);
-                continue;
-            }
-            let Some(request) = self.requests.get(&id) else {
-                continue;
-            };
-            let last = request.deadline.saturating_sub(2 * self.sweep_every());
-            let wait_end = if request.tries == 0 {
-                last.min(request.arrived + (HOLD * request.aim) as Time)
+            let has_state = self.requests.get(&id).is_some_and(|request| request.state.is_some());
+            let sent = if has_state {
+                self.hand_over(now, id, out)
             } else {
-                last
+                self.place(now, id).is_some_and(|(server, kind)| self.send(now, id, &server, kind, out))
             };
-            if now >= last || (now >= wait_end && !has_state) {
-                self.finish(now, id, out);
+            misses += u32::from(!sent);
+            if misses >= MISSES {
+                break;
             }
         }
     }
@@ -619,6 +621,9 @@
         let readers: Vec<&View> =
             self.views.values().filter(|v| v.role == Role::Prefill).filter(fits).collect();
         let room: Vec<&View> = writers.iter().copied().filter(|v| self.memory(v, now) < MARK).collect();
+        // Guards against reads that no writer will take in time: the soonest hand-over counts with the read.
+        let hand = room.iter().map(|v| self.hand_time(v, Kind::Near, request.ask.prompt, now));
+        let left = left - hand.fold(f64::MAX, f64::min).min(left);
         let read_time = |view: &View, kind: Kind| {
             let x = (request.ask.prompt - view.kept(&request.ask)).max(0.0);
             self.predict_now(view, kind, x, now)
@@ -635,7 +640,7 @@
         };
         if tries >= 2 && !room.is_empty() {
             // Rule 1: an idle reader.
-            let idle = readers.iter().filter(|v| v.jobs.is_empty());
+            let idle = readers.iter().filter(|v| v.jobs.is_empty() && read_time(v, Kind::Read) <= left);
             let idle = idle.map(|v| (read_time(v, Kind::Read) / request.aim.max(1.0), *v)).collect();
             if let Some(server) = best(idle) {
                 return Some((server, Kind::Read));
