--- a/src/brain.rs
+++ b/src/brain.rs
@@ -477,6 +477,7 @@
         note: u64,
         out: &mut Vec<Action>,
     ) {
+        let every = self.sweep_every();
         let job = self.views.get_mut(server).and_then(|view| view.jobs.remove(&id));
         let Some(request) = self.requests.get_mut(&id) else {
             return;
@@ -520,7 +521,7 @@
                 out.push(Action::Release { id });
             }
             self.requests.remove(&id);
-        } else if outcome == Outcome::NotSent || now >= request.deadline {
+        } else if outcome == Outcome::NotSent || now + 2 * every >= request.deadline {
             self.finish(now, id, out);
         } else if request.state.is_none() || !self.hand_over(now, id, out) {
             if self.may_send(now, id, None) {
@@ -620,10 +621,10 @@
             self.views.values().filter(|v| v.role != Role::Prefill).filter(fits).collect();
         let readers: Vec<&View> =
             self.views.values().filter(|v| v.role == Role::Prefill).filter(fits).collect();
-        let room: Vec<&View> = writers.iter().copied().filter(|v| self.memory(v, now) < MARK).collect();
-        // Guards against reads that no writer will take in time: the soonest hand-over counts with the read.
-        let hand = room.iter().map(|v| self.hand_time(v, Kind::Near, request.ask.prompt, now));
-        let left = left - hand.fold(f64::MAX, f64::min).min(left);
+        // Guards against reads that no writer will take in time: memory and the wait before the first token.
+        let in_time = |v: &&View| self.hand_time(v, Kind::Near, request.ask.prompt, now) < left;
+        let room: Vec<&View> =
+            writers.iter().copied().filter(|v| self.memory(v, now) < MARK).filter(in_time).collect();
         let read_time = |view: &View, kind: Kind| {
             let x = (request.ask.prompt - view.kept(&request.ask)).max(0.0);
             self.predict_now(view, kind, x, now)
@@ -640,7 +641,7 @@
         };
         if tries >= 2 && !room.is_empty() {
             // Rule 1: an idle reader.
-            let idle = readers.iter().filter(|v| v.jobs.is_empty() && read_time(v, Kind::Read) <= left);
+            let idle = readers.iter().filter(|v| v.jobs.is_empty());
             let idle = idle.map(|v| (read_time(v, Kind::Read) / request.aim.max(1.0), *v)).collect();
             if let Some(server) = best(idle) {
                 return Some((server, Kind::Read));
