Writer pick: near writers first, late ones last

Told from full writers by fast reads, free slots and slowness that began and ended with the link trouble. Also holds for any dear link (cut zones, congestion); may harm where one cell's writers are much weaker.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -676,6 +676,7 @@
         let Some((reader, _)) = &request.state else {
             return false;
         };
+        let left = request.aim - (now - request.arrived) as f64;
         let cell = self.views.get(reader).map(|view| view.entry.cell);
         let near = |view: &View| cell.is_none_or(|cell| cell == view.entry.cell);
         let candidates = self
@@ -683,11 +684,16 @@
             .values()
             .filter(|v| v.role != Role::Prefill && self.may_send(now, id, Some(v)) && self.cold_room(v, now));
         let key = |view: &View| {
-            let handicap = if near(view) { 0.0 } else { FAR_HANDICAP * request.ask.prompt };
+            let (kind, handicap) = if near(view) {
+                (Kind::Near, 0.0)
+            } else {
+                (Kind::Far, FAR_HANDICAP * (request.ask.prompt + view.tokens()))
+            };
+            let late = self.hand_time(view, kind, request.ask.prompt, now) > left;
             let poor = u32::from(!self.well(view, now))
                 + u32::from(view.strikes > 0)
                 + u32::from(request.avoid.contains(&view.entry.server));
-            (poor, self.memory(view, now) >= MARK, view.tokens() + handicap)
+            (poor, u32::from(self.memory(view, now) >= MARK) + u32::from(late), view.tokens() + handicap)
         };
         let best = candidates
             .map(|v| (key(v), v))
