--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 /// A report older than this many TTFT aims is no evidence.
 const REPORT_LIFE: f64 = 2.0;
 /// A state that leaves its cell counts as this many times its tokens at the far writer.
-const FAR_HANDICAP: f64 = 2.0;
+const FAR_HANDICAP: f64 = 3.0;
 /// Places in a server's memory of kept texts; the oldest half goes when it is full.
 const KEPT_MOST: usize = 2000;
 /// Held requests that fit nowhere before the rest is left for the next event.
