--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,6 +41,8 @@
 const KEPT_MOST: usize = 2000;
 /// Held requests that fit nowhere before the rest is left for the next event.
 const MISSES: u32 = 8;
+/// Read times within the TTFT aim over this are a tie.
+const TIE: f64 = 20.0;
 /// The one timer's name.
 const SWEEP: u64 = 1;
 
@@ -190,6 +192,12 @@
     avoid: BTreeSet<ServerId>,
 }
 
+fn hash(one: &str, other: &str) -> u64 {
+    let mix = |h: u64, byte: u8| (h ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    let h = one.bytes().chain([0]).chain(other.bytes()).fold(0xcbf2_9ce4_8422_2325, mix);
+    (h ^ (h >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 8
+}
+
 /// One front's router.
 pub struct Router {
     set: Settings,
@@ -606,7 +614,7 @@
 
     /// Rules 1, 2 and 3 in this order; `None` holds the request.
     fn place(&mut self, now: Time, id: ReqId) -> Option<(ServerId, Kind)> {
-        let salt = self.random();
+        let salt = (self.random() * 2f64.powi(53)) as u64;
         let request = self.requests.get(&id)?;
         let age = (now - request.arrived) as f64;
         let left =
@@ -629,15 +637,15 @@
             let x = (request.ask.prompt - view.kept(&request.ask)).max(0.0);
             self.predict_now(view, kind, x, now)
         };
+        // Ties go by a hash of session and server: all fronts then find a session's kept text at the
+        // same reader without a word between them, and sessions spread over the readers.
+        let home = |view: &View| match &request.ask.session {
+            Some(key) => hash(&key.0, &view.entry.server.0),
+            None => hash(&view.entry.server.0, "") ^ salt,
+        };
         let best = |of: Vec<(f64, &View)>| {
-            let count = of.len() as f64;
-            let turn = (salt * count) as usize;
-            let all: Vec<(f64, &View)> = of;
-            let n = all.len();
-            (0..n)
-                .map(|i| &all[(i + turn) % n])
-                .min_by(|a, b| (a.0 * 20.0).round().total_cmp(&(b.0 * 20.0).round()))
-                .map(|(_, view)| view.entry.server.clone())
+            let rank = |(time, view): &(f64, &View)| ((time * TIE).round() as u64, home(view));
+            of.into_iter().min_by_key(rank).map(|(_, view)| view.entry.server.clone())
         };
         if tries >= 2 && !room.is_empty() {
             // Rule 1: an idle reader.
