--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,6 +43,8 @@
 const MISSES: u32 = 8;
 /// Read times within the TTFT aim over this are a tie.
 const TIE: f64 = 20.0;
+/// A writer in use is asked for its load once in this many TTFT aims.
+const PROBE_EVERY: f64 = 1.0;
 /// The one timer's name.
 const SWEEP: u64 = 1;
 
@@ -123,6 +125,7 @@
     kept: BTreeMap<TextKey, (f64, Time)>,
     /// Memory share, other business, and when told.
     report: Option<(f64, Time)>,
+    probed: Time,
     strikes: u32,
     suspended: Time,
     sends: VecDeque<Time>,
@@ -265,6 +268,10 @@
         }
     }
 
+    fn least_aim(&self) -> f64 {
+        self.set.classes.iter().map(|class| class.ttft_aim).min().unwrap_or(0) as f64
+    }
+
     fn sweep_every(&self) -> Time {
         (self.set.let_go_by / 10).max(self.set.tick).max(1)
     }
@@ -302,6 +309,7 @@
                 last_read_end: 0,
                 kept: BTreeMap::new(),
                 report: None,
+                probed: 0,
                 strikes: 0,
                 suspended: 0,
                 sends: VecDeque::new(),
@@ -362,7 +370,7 @@
     }
 
     fn strike(&mut self, server: &ServerId, now: Time) {
-        let base = SUSPEND * self.set.classes.iter().map(|c| c.ttft_aim).min().unwrap_or(0) as f64;
+        let base = SUSPEND * self.least_aim();
         if let Some(view) = self.views.get_mut(server) {
             let span = base * f64::from(1u32 << view.strikes.min(SUSPEND_DOUBLINGS));
             view.strikes += 1;
@@ -382,11 +390,12 @@
     /// Share of a writer's KV memory that is held: as reported, plus ours since; else from our own.
     fn memory(&self, view: &View, now: Time) -> f64 {
         let kv = if view.kv > 0.0 { view.kv } else { return 0.0 };
-        let life = REPORT_LIFE * self.set.classes.iter().map(|c| c.ttft_aim).min().unwrap_or(0) as f64;
+        let life = REPORT_LIFE * self.least_aim();
         match view.report {
             Some((share, at)) if (now - at) as f64 <= life => {
+                // The other fronts send as much as we do.
                 let since: f64 = view.jobs.values().filter(|j| j.sent > at).map(|j| j.tokens).sum();
-                share + since / kv
+                share + since * f64::from(self.set.fronts) / kv
             }
             _ => view.tokens() * f64::from(self.set.fronts) / kv,
         }
@@ -566,6 +575,17 @@
             out.push(Action::Subscribe);
         }
         let every = self.sweep_every();
+        // Reports that do not come with answers are asked for, of servers that we have work at.
+        if self.set.may_probe && !self.set.reports_in_answers && !self.set.report_fields.is_empty() {
+            let spacing = (PROBE_EVERY * self.least_aim()) as Time;
+            for view in self.views.values_mut() {
+                let due = view.role != Role::Prefill && now >= view.probed + spacing;
+                if due && view.entry.listed == Listed::Running && !view.jobs.is_empty() {
+                    view.probed = now;
+                    out.push(Action::Probe { server: view.entry.server.clone() });
+                }
+            }
+        }
         let keep = (LET_GO * self.set.let_go_by as f64) as Time;
         let stuck: Vec<ReqId> = self.held.iter().copied().collect();
         for id in stuck {
