--- a/src/brain.rs
+++ b/src/brain.rs
@@ -60,6 +60,8 @@
     /// A state fetched inside its cell, or from another one.
     Near = 2,
     Far = 3,
+    /// A running answer: microseconds a token over the share of KV memory held.
+    Stream = 4,
 }
 
 /// A line fitted to answers, older ones fading: microseconds over tokens.
@@ -73,7 +75,7 @@
 }
 
 impl Line {
-    fn learn(&mut self, x: f64, y: f64) {
+    fn learn(&mut self, weight: f64, x: f64, y: f64) {
         for (sum, new) in [
             (&mut self.n, 1.0),
             (&mut self.x, x),
@@ -81,13 +83,13 @@
             (&mut self.xx, x * x),
             (&mut self.xy, x * y),
         ] {
-            *sum = *sum * FIT_KEEP + new;
+            *sum = *sum * FIT_KEEP + weight * new;
         }
     }
 
     /// Falls back on the mean where the answers do not span a line that rises.
     fn at(&self, x: f64) -> f64 {
-        if self.n < 0.5 {
+        if self.n <= 0.0 {
             return 0.0;
         }
         let (mx, my) = (self.x / self.n, self.y / self.n);
@@ -110,6 +112,11 @@
     tokens: f64,
     aim: f64,
     first: Option<Time>,
+    /// Length of the answer as hinted, 0 where it is not; share of memory held at its first token.
+    hinted: f64,
+    share: f64,
+    /// TPOT aim.
+    tpot: f64,
     /// Read time of ours that has stalled this stream.
     charged: f64,
 }
@@ -120,7 +127,7 @@
     kv: f64,
     jobs: BTreeMap<ReqId, Job>,
     /// Own pace against the common fits, by kind of attempt.
-    pace: [f64; 4],
+    pace: [f64; 5],
     last_read_end: Time,
     kept: BTreeMap<TextKey, (f64, Time)>,
     /// Memory share, other business, and when told.
@@ -208,7 +215,7 @@
     views: BTreeMap<ServerId, View>,
     requests: BTreeMap<ReqId, Request>,
     held: BTreeSet<ReqId>,
-    fits: [Line; 4],
+    fits: [Line; 5],
     quota: Vec<(f64, Time)>,
     armed: bool,
     asked: Option<Time>,
@@ -224,7 +231,7 @@
             views: BTreeMap::new(),
             requests: BTreeMap::new(),
             held: BTreeSet::new(),
-            fits: [Line::default(); 4],
+            fits: [Line::default(); 5],
             quota,
             armed: false,
             asked: None,
@@ -305,7 +312,7 @@
                 role,
                 kv,
                 jobs: BTreeMap::new(),
-                pace: [1.0; 4],
+                pace: [1.0; 5],
                 last_read_end: 0,
                 kept: BTreeMap::new(),
                 report: None,
@@ -316,7 +323,7 @@
             });
             if entry.ready_at != view.entry.ready_at {
                 // A new process: what was known of the old one is void.
-                (view.pace, view.report, view.strikes, view.suspended) = ([1.0; 4], None, 0, 0);
+                (view.pace, view.report, view.strikes, view.suspended) = ([1.0; 5], None, 0, 0);
                 view.kept.clear();
             }
             (view.entry, view.role, view.kv) = (entry, role, kv);
@@ -366,7 +373,32 @@
             let ratio = (y / common).clamp(0.05, 20.0);
             view.pace[k] += PACE_STEP * (ratio - view.pace[k]);
         }
-        self.fits[k].learn(job.x, y / view.pace[k].max(0.05));
+        self.fits[k].learn(1.0, job.x, y / view.pace[k].max(0.05));
+    }
+
+    /// An answer has ended: its time over its hinted tokens, against the memory share it ran in.
+    fn learn_pace(&mut self, now: Time, server: &ServerId, job: &Job) {
+        let k = Kind::Stream as usize;
+        let Some(share) = self.views.get(server).map(|view| (self.memory(view, now) + job.share) / 2.0)
+        else {
+            return;
+        };
+        let (Some(first), Some(view)) = (job.first.filter(|_| job.hinted > 0.0), self.views.get_mut(server))
+        else {
+            return;
+        };
+        let y = (now - first) as f64 / job.hinted;
+        let common = self.fits[k].at(share);
+        if common > 0.0 {
+            view.pace[k] += PACE_STEP * 0.5 * ((y / common).clamp(0.3, 3.0) - view.pace[k]);
+        }
+        self.fits[k].learn(job.hinted, share, y / view.pace[k]);
+    }
+
+    /// Microseconds a token that a stream can expect at this writer, at the least the nominal pace.
+    fn token_time(&self, view: &View, tpot: f64, more: f64, now: Time) -> f64 {
+        let share = self.memory(view, now) + if view.kv > 0.0 { more / view.kv } else { 0.0 };
+        self.predict(view, Kind::Stream, share).max(NOMINAL * tpot)
     }
 
     fn strike(&mut self, server: &ServerId, now: Time) {
@@ -403,7 +435,10 @@
 
     fn slack(&self, view: &View, now: Time) -> f64 {
         let slack = view.jobs.values().filter(|job| job.kind != Kind::Read).map(|job| match job.first {
-            Some(first) => (now - first) as f64 * (1.0 / NOMINAL - 1.0) - job.charged,
+            Some(first) => {
+                let spare = job.tpot / self.token_time(view, job.tpot, 0.0, now).max(1.0) - 1.0;
+                (now - first) as f64 * spare - job.charged
+            }
             None if job.kind == Kind::Whole => 0.0,
             None => job.aim,
         });
@@ -461,6 +496,7 @@
     }
 
     fn first(&mut self, now: Time, id: ReqId, server: &ServerId) {
+        let share = self.views.get(server).map_or(0.0, |view| self.memory(view, now));
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -471,7 +507,7 @@
         };
         (view.strikes, view.suspended) = (0, 0);
         let Some(job) = view.jobs.get_mut(&id) else { return };
-        job.first = Some(now);
+        (job.first, job.share) = (Some(now), share);
         let job = job.clone();
         if job.kind == Kind::Whole {
             let spent = now - job.start;
@@ -516,7 +552,12 @@
                     self.learn(server, &Job { x, ..job.clone() }, (now - start.min(now)) as f64);
                 }
             }
-            Outcome::Served | Outcome::NotSent | Outcome::Cancelled => {}
+            Outcome::Served => {
+                if let Some(job) = &job {
+                    self.learn_pace(now, server, job);
+                }
+            }
+            Outcome::NotSent | Outcome::Cancelled => {}
             Outcome::Full if note == 1 => {
                 // The state may only be out of reach, behind a cut: let go of it before reading anew.
                 request.state = None;
@@ -650,7 +691,11 @@
         let readers: Vec<&View> =
             self.views.values().filter(|v| v.role == Role::Prefill).filter(fits).collect();
         // Guards against reads that no writer will take in time: memory and the wait before the first token.
-        let in_time = |v: &&View| self.hand_time(v, Kind::Near, request.ask.prompt, now) < left;
+        let tpot = self.set.classes.get(request.ask.class).map_or(0.0, |class| class.tpot_aim);
+        let in_time = |v: &&View| {
+            self.hand_time(v, Kind::Near, request.ask.prompt, now) < left
+                && self.token_time(v, tpot, request.ask.prompt, now) <= tpot
+        };
         let room: Vec<&View> =
             writers.iter().copied().filter(|v| self.memory(v, now) < MARK).filter(in_time).collect();
         let read_time = |view: &View, kind: Kind| {
@@ -791,7 +836,7 @@
         };
         let x = match kind {
             Kind::Read | Kind::Whole => (request.ask.prompt - view.kept(&request.ask)).max(0.0),
-            Kind::Near | Kind::Far => request.ask.prompt,
+            Kind::Near | Kind::Far | Kind::Stream => request.ask.prompt,
         };
         let time = self.predict_now(view, kind, x, now);
         let start = match kind {
@@ -819,6 +864,9 @@
             tokens: request.ask.prompt + if kind == Kind::Read { 0.0 } else { answer },
             aim: request.aim,
             first: None,
+            hinted: if request.ask.hint > 0 { answer } else { 0.0 },
+            share: 0.0,
+            tpot,
             charged: 0.0,
         };
         let Some(request) = self.requests.get_mut(&id) else {
