--- a/src/brain.rs
+++ b/src/brain.rs
@@ -133,6 +133,8 @@
     /// Memory share, other business, and when told.
     report: Option<(f64, Time)>,
     probed: Time,
+    /// When its streams will have made up for the reads that all fronts gave it.
+    absorbed: Time,
     strikes: u32,
     suspended: Time,
     sends: VecDeque<Time>,
@@ -317,6 +319,7 @@
                 kept: BTreeMap::new(),
                 report: None,
                 probed: 0,
+                absorbed: 0,
                 strikes: 0,
                 suspended: 0,
                 sends: VecDeque::new(),
@@ -734,7 +737,8 @@
         let absorbing = room.iter().filter(|v| v.role == Role::Mixed || self.set.writers_read);
         let absorbing = absorbing.filter_map(|v| {
             let time = read_time(v, Kind::Whole);
-            (time <= left && self.slack(v, now) > time).then_some((time / request.aim.max(1.0), *v))
+            (time <= left && now >= v.absorbed && self.slack(v, now) > time)
+                .then_some((time / request.aim.max(1.0), *v))
         });
         best(absorbing.collect()).map(|server| (server, Kind::Whole))
     }
@@ -878,6 +882,11 @@
         request.pinned |= kind == Kind::Read;
         self.held.remove(&id);
         if let Some(view) = self.views.get_mut(server) {
+            if kind == Kind::Whole {
+                // Streams of other fronts stall too, and those fronts send such reads as well: the slack
+                // that an answer gains at its nominal pace pays for one front's reads in turn.
+                view.absorbed = now + (time * f64::from(self.set.fronts) / (1.0 - NOMINAL)) as Time;
+            }
             view.jobs.insert(id, job);
             view.sends.push_back(now);
             while view.sends.front().is_some_and(|at| at + self.set.tip_after < now) {
