--- a/src/brain.rs
+++ b/src/brain.rs
@@ -191,7 +191,6 @@
     /// Beyond its tenant's share.
     over: bool,
     tries: u32,
-    reads: u32,
     out: Option<(ServerId, u32)>,
     /// The reader whose state waits, and since when.
     state: Option<(ServerId, Time)>,
@@ -247,10 +246,7 @@
             Event::Servers { mode, entries } => self.servers(now, mode, entries, out),
             Event::Arrived(ask) => self.arrived(now, ask),
             Event::Streaming { id, server, .. } => self.first(now, id, &server),
-            Event::Ended { id, server, outcome, settled, note, load, .. } => {
-                self.report(now, &server, load);
-                self.ended(now, id, &server, outcome, settled, note, out);
-            }
+            Event::Ended { .. } => self.ended(now, event, out),
             Event::Probed { server, load, .. } => self.report(now, &server, load),
             Event::ClientGone { id } => self.gone(id, out),
             Event::Timer { name: SWEEP } => {
@@ -291,9 +287,7 @@
         // The list must be asked for where it is not pushed; a call that failed is made again.
         if self.set.discovery == Discovery::Asked {
             match mode {
-                ListMode::Restored => {
-                    out.push(Action::Subscribe);
-                }
+                ListMode::Restored => out.push(Action::Subscribe),
                 ListMode::Failed => self.asked = Some(now + self.set.ask_within / 8),
                 _ => self.asked = None,
             }
@@ -366,36 +360,14 @@
         ages.fold(self.predict(view, kind, x), f64::max)
     }
 
-    fn learn(&mut self, server: &ServerId, job: &Job, y: f64) {
-        let k = job.kind as usize;
-        let Some(view) = self.views.get_mut(server) else {
-            return;
-        };
-        let common = self.fits[k].at(job.x);
-        if common > 0.0 {
-            let ratio = (y / common).clamp(0.05, 20.0);
-            view.pace[k] += PACE_STEP * (ratio - view.pace[k]);
-        }
-        self.fits[k].learn(1.0, job.x, y / view.pace[k].max(0.05));
-    }
-
-    /// An answer has ended: its time over its hinted tokens, against the memory share it ran in.
-    fn learn_pace(&mut self, now: Time, server: &ServerId, job: &Job) {
-        let k = Kind::Stream as usize;
-        let Some(share) = self.views.get(server).map(|view| (self.memory(view, now) + job.share) / 2.0)
-        else {
-            return;
-        };
-        let (Some(first), Some(view)) = (job.first.filter(|_| job.hinted > 0.0), self.views.get_mut(server))
-        else {
-            return;
-        };
-        let y = (now - first) as f64 / job.hinted;
-        let common = self.fits[k].at(share);
+    /// An answer moves its server's pace against the common line, then the line by what is left.
+    fn learn(&mut self, server: &ServerId, kind: Kind, weight: f64, x: f64, y: f64) {
+        let (fit, Some(view)) = (&mut self.fits[kind as usize], self.views.get_mut(server)) else { return };
+        let (common, pace) = (fit.at(x), &mut view.pace[kind as usize]);
         if common > 0.0 {
-            view.pace[k] += PACE_STEP * 0.5 * ((y / common).clamp(0.3, 3.0) - view.pace[k]);
+            *pace += PACE_STEP * ((y / common).clamp(0.05, 20.0) - *pace);
         }
-        self.fits[k].learn(job.hinted, share, y / view.pace[k]);
+        fit.learn(weight, x, y / pace.max(0.05));
     }
 
     /// Microseconds a token that a stream can expect at this writer, at the least the nominal pace.
@@ -451,32 +423,19 @@
     // ---- Requests coming and going ----
 
     fn arrived(&mut self, now: Time, ask: Arrival) {
-        let Some(class) = self.set.classes.get(ask.class) else {
-            return self.hold_unknown(now, ask);
-        };
-        let aim = class.ttft_aim as f64 + class.ttft_aim_per_1000 * ask.prompt / 1000.0;
-        let mut over = false;
-        if let (Some(tenant), Some((level, at))) =
-            (self.set.tenants.get(ask.tenant), self.quota.get_mut(ask.tenant))
-        {
+        let aim = self.set.classes.get(ask.class).map_or(ask.time_left as f64, |class| {
+            class.ttft_aim as f64 + class.ttft_aim_per_1000 * ask.prompt / 1000.0
+        });
+        let (tenant, bucket) = (self.set.tenants.get(ask.tenant), self.quota.get_mut(ask.tenant));
+        let over = tenant.zip(bucket).is_some_and(|(tenant, (level, at))| {
             // A bucket of two seconds of this front's part of the tenant's share.
             let rate = tenant.quota_per_s / f64::from(self.set.fronts);
-            *level = (*level - rate * (now - *at) as f64 / 1e6).max(0.0) + 1.0;
+            *level = (*level - rate * (now - *at) as f64 / 1e6).max(0.0);
             *at = now;
-            over = *level > 2.0 * rate + 1.0;
-            if over {
-                *level -= 1.0;
-            }
-        }
-        self.take(now, ask, aim, over);
-    }
-
-    fn hold_unknown(&mut self, now: Time, ask: Arrival) {
-        let aim = ask.time_left as f64;
-        self.take(now, ask, aim, true);
-    }
-
-    fn take(&mut self, now: Time, ask: Arrival, aim: f64, over: bool) {
+            let over = *level > 2.0 * rate;
+            *level += if over { 0.0 } else { 1.0 };
+            over
+        });
         let id = ask.id;
         let request = Request {
             arrived: now,
@@ -484,7 +443,6 @@
             aim,
             over,
             tries: 0,
-            reads: 0,
             out: None,
             state: None,
             pinned: false,
@@ -519,20 +477,13 @@
             }
             view.remember(&request.ask, job.tokens, now);
         }
-        self.learn(server, &job, (now - job.start) as f64);
+        self.learn(server, job.kind, 1.0, job.x, (now - job.start) as f64);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn ended(
-        &mut self,
-        now: Time,
-        id: ReqId,
-        server: &ServerId,
-        outcome: Outcome,
-        settled: bool,
-        note: u64,
-        out: &mut Vec<Action>,
-    ) {
+    fn ended(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        let Event::Ended { id, server, outcome, settled, note, load, .. } = event else { return };
+        let server = &server;
+        self.report(now, server, load);
         let every = self.sweep_every();
         let job = self.views.get_mut(server).and_then(|view| view.jobs.remove(&id));
         let Some(request) = self.requests.get_mut(&id) else {
@@ -552,12 +503,17 @@
                     (view.strikes, view.suspended) = (0, 0);
                     view.remember(&request.ask, note as f64, now);
                     let x = (request.ask.prompt - note as f64).max(0.0);
-                    self.learn(server, &Job { x, ..job.clone() }, (now - start.min(now)) as f64);
+                    self.learn(server, Kind::Read, 1.0, x, (now - start.min(now)) as f64);
                 }
             }
             Outcome::Served => {
-                if let Some(job) = &job {
-                    self.learn_pace(now, server, job);
+                // The whole answer over its hinted tokens, against the memory share it ran in.
+                let share = self.views.get(server).map_or(0.0, |view| self.memory(view, now));
+                if let Some((job, first)) = job.as_ref().and_then(|j| Some((j, j.first?)))
+                    && job.hinted > 0.0
+                {
+                    let y = (now - first) as f64 / job.hinted;
+                    self.learn(server, Kind::Stream, job.hinted, (share + job.share) / 2.0, y);
                 }
             }
             Outcome::NotSent | Outcome::Cancelled => {}
@@ -878,7 +834,6 @@
         };
         request.out = Some((server.clone(), request.tries));
         request.tries += 1;
-        request.reads += u32::from(kind == Kind::Read);
         request.pinned |= kind == Kind::Read;
         self.held.remove(&id);
         if let Some(view) = self.views.get_mut(server) {
--- /dev/null
+++ b/tests/module.rs
@@ -0,0 +1,487 @@
+//! The decision module through its public interface. Times are microseconds.
+
+use elderstage::*;
+
+const MS: Time = 1_000;
+
+struct Bench {
+    router: Router,
+    now: Time,
+    out: Vec<Action>,
+}
+
+fn server(name: &str) -> ServerId {
+    ServerId(name.into())
+}
+
+/// Names say the kind: r is a reader, w a writer, m a mixed server; the number after it is its cell.
+fn entry(name: &str, listed: Listed, ready_at: Time) -> Entry {
+    let kind = match &name[..1] {
+        "r" => 0,
+        "w" => 1,
+        _ => 2,
+    };
+    let cell = name[1..2].parse().unwrap();
+    Entry { server: server(name), listed, kind, zone: cell, cell, weight: 1.0, ready_at }
+}
+
+fn arrival(id: u32, prompt: f64) -> Arrival {
+    Arrival {
+        id: ReqId(id),
+        class: 0,
+        tenant: 0,
+        session: None,
+        prefix: None,
+        time_left: 6_000 * MS,
+        hint: 0,
+        prompt,
+        shared: 0.0,
+        max_out: 200.0,
+        repeat: false,
+        returned: false,
+    }
+}
+
+impl Bench {
+    fn with(settings: Settings, names: &[&str]) -> Bench {
+        let mut bench = Bench { router: Router::new(settings, 5), now: 1_000_000_000, out: Vec::new() };
+        bench.list(ListMode::Restored, names.iter().map(|n| entry(n, Listed::Running, 0)).collect());
+        bench
+    }
+
+    fn new(names: &[&str]) -> Bench {
+        Bench::with(example_settings(), names)
+    }
+
+    fn pass(&mut self, event: Event) -> Vec<Action> {
+        self.out.clear();
+        self.router.handle(self.now, event, &mut self.out);
+        self.out
+            .iter()
+            .filter(|a| !matches!(a, Action::Timer { .. } | Action::Probe { .. }))
+            .cloned()
+            .collect()
+    }
+
+    fn list(&mut self, mode: ListMode, entries: Vec<Entry>) -> Vec<Action> {
+        self.pass(Event::Servers { mode, entries })
+    }
+
+    fn arrive(&mut self, id: u32, prompt: f64) -> Vec<Action> {
+        self.pass(Event::Arrived(arrival(id, prompt)))
+    }
+
+    fn end(&mut self, id: u32, attempt: u32, at: &str, outcome: Outcome, note: u64) -> Vec<Action> {
+        let settled = outcome == Outcome::Served;
+        let (id, server) = (ReqId(id), server(at));
+        self.pass(Event::Ended { id, attempt, server, outcome, took: 0, settled, note, load: None })
+    }
+
+    fn first(&mut self, id: u32, attempt: u32, at: &str) -> Vec<Action> {
+        self.pass(Event::Streaming { id: ReqId(id), attempt, server: server(at), took: 0 })
+    }
+
+    /// Lets time pass, sweep by sweep, and gathers what is done.
+    fn wait(&mut self, span: Time) -> Vec<Action> {
+        let (end, mut done) = (self.now + span, Vec::new());
+        while self.now < end {
+            self.now = (self.now + 10 * MS).min(end);
+            done.extend(self.pass(Event::Timer { name: 1 }));
+        }
+        done
+    }
+
+    /// Reads and answers requests so that the fits know: a read takes 100 ms for each 1,000 tokens.
+    fn teach(&mut self) {
+        for id in 9_000..9_006 {
+            let prompt = 1_000.0 + 500.0 * f64::from(id % 3);
+            let reader = sent_to(&self.arrive(id, prompt)).unwrap();
+            self.now += (prompt / 10.0) as Time * MS;
+            let writer = sent_to(&self.end(id, 0, &reader, Outcome::Read, 0)).unwrap();
+            self.now += 20 * MS;
+            self.first(id, 1, &writer);
+            self.now += 2_000 * MS;
+            self.end(id, 1, &writer, Outcome::Served, 0);
+        }
+    }
+}
+
+fn sent_to(actions: &[Action]) -> Option<String> {
+    let mut sends = actions.iter().filter_map(|action| match action {
+        Action::Send { server, .. } => Some(server.0.to_string()),
+        _ => None,
+    });
+    let first = sends.next();
+    assert!(sends.next().is_none(), "more than one send: {actions:?}");
+    first
+}
+
+fn final_answers(actions: &[Action], id: u32) -> usize {
+    let of = |a: &&Action| matches!(a, Action::Refuse { id: i, .. } | Action::Fail { id: i } if i.0 == id);
+    actions.iter().filter(of).count()
+}
+
+fn with_repeat(repeat: Repeat) -> Settings {
+    let mut settings = example_settings();
+    settings.classes[0].repeat = repeat;
+    settings
+}
+
+// ---- The dispatcher's rules and their order ----
+
+#[test]
+fn rule_1_takes_an_idle_reader_before_any_other() {
+    let mut bench = Bench::new(&["r1", "r2", "w1"]);
+    bench.teach();
+    let one = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    let two = sent_to(&bench.arrive(2, 1_000.0)).unwrap();
+    assert!(one.starts_with('r') && two.starts_with('r') && one != two, "{one} {two}");
+}
+
+#[test]
+fn rule_2_takes_a_running_reader_with_nothing_waiting_that_is_on_time() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    bench.teach();
+    assert_eq!(sent_to(&bench.arrive(1, 2_000.0)).as_deref(), Some("r1"));
+    assert_eq!(sent_to(&bench.arrive(2, 2_000.0)).as_deref(), Some("r1"));
+    // One runs and one waits: the third does not go there.
+    assert_ne!(sent_to(&bench.arrive(3, 2_000.0)).as_deref(), Some("r1"));
+}
+
+#[test]
+fn rule_2_leaves_a_reader_that_would_be_late() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    bench.teach();
+    assert_eq!(sent_to(&bench.arrive(1, 9_000.0)).as_deref(), Some("r1"));
+    assert_ne!(sent_to(&bench.arrive(2, 9_000.0)).as_deref(), Some("r1"));
+}
+
+#[test]
+fn rule_2_does_not_feed_a_reader_whose_predicted_end_has_passed() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    bench.teach();
+    bench.arrive(1, 1_000.0);
+    bench.now += 150 * MS;
+    assert_ne!(sent_to(&bench.arrive(2, 1_000.0)).as_deref(), Some("r1"));
+}
+
+#[test]
+fn rule_3_takes_a_writer_whose_streams_have_slack_and_holds_where_they_have_none() {
+    let mut bench = Bench::new(&["w1"]);
+    assert_eq!(sent_to(&bench.arrive(1, 1_000.0)).as_deref(), Some("w1"));
+    bench.now += 300 * MS;
+    bench.first(1, 0, "w1");
+    bench.now += 10 * MS;
+    assert_eq!(sent_to(&bench.arrive(2, 1_000.0)), None, "the stream has just begun: no slack");
+    bench.pass(Event::ClientGone { id: ReqId(2) });
+    bench.now += 4_000 * MS;
+    assert_eq!(sent_to(&bench.arrive(3, 1_000.0)).as_deref(), Some("w1"));
+}
+
+#[test]
+fn rule_3_needs_a_mixed_server_where_writers_cannot_read() {
+    let mut settings = example_settings();
+    settings.writers_read = false;
+    assert_eq!(sent_to(&Bench::with(settings.clone(), &["w1"]).arrive(1, 1_000.0)), None);
+    assert_eq!(sent_to(&Bench::with(settings, &["m1", "w1"]).arrive(1, 1_000.0)).as_deref(), Some("m1"));
+}
+
+#[test]
+fn nothing_is_read_while_every_writer_is_above_its_memory_mark() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    let reader = sent_to(&bench.arrive(1, 95_000.0)).unwrap();
+    bench.end(1, 0, &reader, Outcome::Read, 0);
+    bench.first(1, 1, "w1");
+    assert_eq!(sent_to(&bench.arrive(2, 1_000.0)), None);
+    let done = bench.end(1, 1, "w1", Outcome::Served, 0);
+    assert_eq!(sent_to(&done).as_deref(), Some("r1"), "room at the writer lets the held request go");
+}
+
+#[test]
+fn a_request_that_fits_nowhere_is_refused_once_well_before_its_deadline_with_advice() {
+    let mut bench = Bench::new(&["r1"]);
+    assert_eq!(bench.arrive(1, 1_000.0), []);
+    let done = bench.wait(5_900 * MS);
+    assert_eq!(final_answers(&done, 1), 1, "{done:?}");
+    assert!(
+        matches!(done[0], Action::Refuse { retry_after, .. } if retry_after > 0 && retry_after <= 500 * MS)
+    );
+    let waited = bench.wait(1_000 * MS);
+    assert_eq!(waited, []);
+}
+
+#[test]
+fn the_wait_at_the_router_is_shorter_than_the_aim() {
+    let mut bench = Bench::new(&["r1"]);
+    bench.arrive(1, 1_000.0);
+    assert_eq!(final_answers(&bench.wait(300 * MS), 1), 0);
+    assert_eq!(final_answers(&bench.wait(500 * MS), 1), 1);
+}
+
+// ---- The writer pick ----
+
+#[test]
+fn the_writer_is_picked_when_the_read_returns_by_fewest_own_tokens() {
+    let mut bench = Bench::new(&["r1", "w1a", "w1b"]);
+    let reader = sent_to(&bench.arrive(1, 4_000.0)).unwrap();
+    let one = sent_to(&bench.end(1, 0, &reader, Outcome::Read, 0)).unwrap();
+    bench.first(1, 1, &one);
+    bench.arrive(2, 1_000.0);
+    let two = sent_to(&bench.end(2, 0, &reader, Outcome::Read, 0)).unwrap();
+    assert_ne!(one, two);
+    bench.first(2, 1, &two);
+    bench.arrive(3, 1_000.0);
+    assert_eq!(
+        sent_to(&bench.end(3, 0, &reader, Outcome::Read, 0)),
+        Some(two),
+        "1,000 tokens run there, not 4,000"
+    );
+}
+
+#[test]
+fn a_state_stays_in_its_cell_while_the_load_there_is_alike() {
+    let mut bench = Bench::new(&["r2", "w1", "w2"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    assert_eq!(sent_to(&bench.end(1, 0, &reader, Outcome::Read, 0)).as_deref(), Some("w2"));
+}
+
+#[test]
+fn a_writer_that_fails_before_the_fetch_leaves_the_state_to_another() {
+    let mut bench = Bench::new(&["r1", "w1a", "w1b"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    let one = sent_to(&bench.end(1, 0, &reader, Outcome::Read, 0)).unwrap();
+    let two = sent_to(&bench.end(1, 1, &one, Outcome::NoConnection, 0)).unwrap();
+    assert!(two.starts_with('w') && two != one, "{one} {two}");
+}
+
+#[test]
+fn a_lost_state_is_let_go_and_read_again() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    bench.end(1, 0, &reader, Outcome::Read, 0);
+    let done = bench.end(1, 1, "w1", Outcome::Full, 1);
+    assert!(done.contains(&Action::Release { id: ReqId(1) }), "{done:?}");
+    assert_eq!(sent_to(&done).as_deref(), Some("r1"));
+}
+
+// ---- The five rules ----
+
+#[test]
+fn one_final_answer_for_a_request_that_times_out_at_its_deadline() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    bench.now += 6_000 * MS;
+    let done = bench.end(1, 0, &reader, Outcome::TimedOut, 0);
+    assert_eq!((final_answers(&done, 1), sent_to(&done)), (1, None));
+    assert_eq!(final_answers(&bench.wait(500 * MS), 1), 0);
+}
+
+#[test]
+fn an_outcome_just_before_the_deadline_is_answered_at_once() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    bench.now += 5_980 * MS;
+    assert_eq!(final_answers(&bench.end(1, 0, &reader, Outcome::TimedOut, 0), 1), 1);
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
+    for (outcome, fails) in
+        [(Outcome::Error, true), (Outcome::Broken, true), (Outcome::TimedOut, true), (Outcome::Full, false)]
+    {
+        let mut bench = Bench::with(with_repeat(Repeat::Unsafe), &["r1", "w1a", "w1b"]);
+        let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+        let writer = sent_to(&bench.end(1, 0, &reader, Outcome::Read, 0)).unwrap();
+        let done = bench.end(1, 1, &writer, outcome, 0);
+        assert_eq!(done.contains(&Action::Fail { id: ReqId(1) }), fails, "{outcome:?} {done:?}");
+        assert_eq!(sent_to(&done).is_none(), fails, "{outcome:?} {done:?}");
+        assert_eq!(done.contains(&Action::Release { id: ReqId(1) }), fails, "{outcome:?} {done:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_request_is_sent_to_a_writer_without_a_time_out_of_ours() {
+    let mut bench = Bench::with(with_repeat(Repeat::Unsafe), &["r1", "w1"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    let done = bench.end(1, 0, &reader, Outcome::Read, 0);
+    assert!(
+        done.iter().any(|a| matches!(a, Action::Send { timeout, .. } if *timeout == 6_000 * MS)),
+        "{done:?}"
+    );
+}
+
+#[test]
+fn a_read_that_failed_is_no_effect() {
+    let mut bench = Bench::with(with_repeat(Repeat::Unsafe), &["r1", "r2", "w1"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    assert!(sent_to(&bench.end(1, 0, &reader, Outcome::Error, 0)).is_some());
+}
+
+#[test]
+fn a_keyed_request_stays_in_its_group_and_within_the_memory() {
+    for (group, second) in [(Group::All, Some("w2")), (Group::Zone, None), (Group::Cell, None)] {
+        let settings = with_repeat(Repeat::Keyed { group, memory: 3_000 * MS });
+        let mut bench = Bench::with(settings.clone(), &["r1", "w1", "w2"]);
+        let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+        assert_eq!(sent_to(&bench.end(1, 0, &reader, Outcome::Read, 0)).as_deref(), Some("w1"));
+        bench.list(ListMode::Changes, vec![entry("w1", Listed::Draining, 0)]);
+        let done = bench.end(1, 1, "w1", Outcome::Error, 0);
+        assert_eq!(sent_to(&done).as_deref(), second, "{group:?}");
+
+        let mut late = Bench::with(settings, &["r1", "w1"]);
+        let reader = sent_to(&late.arrive(1, 1_000.0)).unwrap();
+        late.end(1, 0, &reader, Outcome::Read, 0);
+        late.now += 2_950 * MS;
+        let done = late.end(1, 1, "w1", Outcome::Error, 0);
+        assert_eq!(sent_to(&done), None, "{group:?}: the memory is nearly over");
+        assert_eq!(final_answers(&done, 1), 1, "{group:?}");
+        let refused = done.iter().any(|a| matches!(a, Action::Refuse { .. }));
+        assert_eq!(refused, group == Group::All, "{group:?} {done:?}");
+    }
+}
+
+#[test]
+fn draining_missing_and_gone_servers_get_nothing_new() {
+    for mode in [ListMode::Changes, ListMode::Full] {
+        let mut bench = Bench::new(&["r1", "r2", "w1"]);
+        let entries = if mode == ListMode::Changes {
+            vec![entry("r1", Listed::Draining, 0)]
+        } else {
+            vec![entry("r2", Listed::Running, 0), entry("w1", Listed::Running, 0)]
+        };
+        bench.list(mode, entries);
+        for id in 1..6 {
+            assert_ne!(sent_to(&bench.arrive(id, 500.0)).as_deref(), Some("r1"), "{mode:?}");
+        }
+    }
+}
+
+#[test]
+fn a_cold_server_gets_no_more_than_its_part_of_what_warm_ones_take() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    let started = bench.now;
+    bench.list(ListMode::Changes, vec![entry("r2", Listed::Running, started)]);
+    let (mut warm, mut cold) = (0, 0);
+    for id in 0..30 {
+        let reader = sent_to(&bench.arrive(id, 100.0)).unwrap();
+        if reader == "r2" {
+            cold += 1
+        } else {
+            warm += 1
+        }
+        bench.now += 20 * MS;
+        let writer = sent_to(&bench.end(id, 0, &reader, Outcome::Read, 0)).unwrap();
+        bench.first(id, 1, &writer);
+        bench.end(id, 1, &writer, Outcome::Served, 0);
+    }
+    assert!(cold >= 1, "a cold server has to be used, or it never warms");
+    assert!(
+        f64::from(cold) <= 0.9 * f64::from(warm),
+        "cold {cold} warm {warm}: the budget is 3 x 0.3 of a warm one"
+    );
+}
+
+#[test]
+fn a_state_that_no_writer_takes_is_let_go_in_time() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    bench.list(ListMode::Changes, vec![entry("w1", Listed::Draining, 0)]);
+    assert_eq!(sent_to(&bench.end(1, 0, &reader, Outcome::Read, 0)), None);
+    let done = bench.wait(280 * MS);
+    assert!(done.contains(&Action::Release { id: ReqId(1) }), "{done:?}");
+}
+
+#[test]
+fn a_read_that_ends_after_its_client_left_is_let_go() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    let done = bench.pass(Event::ClientGone { id: ReqId(1) });
+    assert!(done.contains(&Action::Cancel { id: ReqId(1), attempt: 0 }), "{done:?}");
+    let done = bench.end(1, 0, &reader, Outcome::Read, 0);
+    assert_eq!(done, [Action::Release { id: ReqId(1) }]);
+}
+
+#[test]
+fn attempts_end_at_the_limit() {
+    let mut bench = Bench::new(&["r1", "r2", "r3", "r4", "r5", "w1", "m1"]);
+    let (mut actions, mut sends) = (bench.arrive(1, 1_000.0), 0);
+    while let Some(at) = sent_to(&actions) {
+        actions = bench.end(1, sends, &at, Outcome::Error, 0);
+        sends += 1;
+        if sent_to(&actions).is_none() && final_answers(&actions, 1) == 0 {
+            actions = bench.wait(5_900 * MS);
+        }
+    }
+    assert!(sends <= 4, "{sends} sends");
+    assert_eq!(final_answers(&actions, 1), 1);
+}
+
+// ---- Health ----
+
+#[test]
+fn a_reader_that_hangs_is_not_fed_again_after_its_time_outs() {
+    let mut bench = Bench::new(&["r1", "r2", "w1"]);
+    bench.teach();
+    let (mut to_hanging, mut hanging) = (0, String::new());
+    for id in 1..40 {
+        let Some(reader) = sent_to(&bench.arrive(id, 1_000.0)).filter(|to| to.starts_with('r')) else {
+            continue;
+        };
+        bench.now += 100 * MS;
+        if hanging.is_empty() {
+            hanging = reader.clone();
+        }
+        let mut actions = if reader == hanging {
+            to_hanging += 1;
+            bench.now += 500 * MS;
+            bench.end(id, 0, &reader, Outcome::TimedOut, 0)
+        } else {
+            bench.end(id, 0, &reader, Outcome::Read, 0)
+        };
+        let mut attempt = 1;
+        while let Some(at) = sent_to(&actions).filter(|at| at.starts_with('r')) {
+            bench.now += 100 * MS;
+            actions = bench.end(id, attempt, &at, Outcome::Read, 0);
+            attempt += 1;
+        }
+        bench.pass(Event::ClientGone { id: ReqId(id) });
+        bench.end(id, attempt, "w1", Outcome::Cancelled, 0);
+    }
+    assert!((1..=5).contains(&to_hanging), "{to_hanging} of 39 went to the hanging reader");
+}
+
+#[test]
+fn a_suspect_is_let_back_by_one_trial_at_a_time() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    bench.arrive(1, 1_000.0);
+    assert_eq!(sent_to(&bench.end(1, 0, "r1", Outcome::Error, 0)).as_deref(), Some("w1"));
+    bench.end(1, 1, "w1", Outcome::Served, 0);
+    bench.now += 2_000 * MS;
+    assert_eq!(sent_to(&bench.arrive(2, 1_000.0)).as_deref(), Some("r1"), "the trial");
+    assert_ne!(sent_to(&bench.arrive(3, 1_000.0)).as_deref(), Some("r1"), "no second beside it");
+}
+
+#[test]
+fn a_failed_call_for_the_list_is_made_again() {
+    let mut settings = example_settings();
+    settings.discovery = Discovery::Asked;
+    let mut bench = Bench { router: Router::new(settings, 5), now: 1_000, out: Vec::new() };
+    assert_eq!(bench.list(ListMode::Restored, Vec::new()), [Action::Subscribe]);
+    assert_eq!(bench.list(ListMode::Failed, Vec::new()), []);
+    assert!(bench.wait(5_000 * MS).contains(&Action::Subscribe));
+}
+
+#[test]
+fn the_same_events_and_seed_give_the_same_actions() {
+    let run = || {
+        let mut bench = Bench::new(&["r1", "r2", "r3", "w1", "w2", "m1"]);
+        let mut all = Vec::new();
+        for id in 0..20 {
+            all.extend(bench.arrive(id, 700.0 + f64::from(id)));
+            bench.now += 30 * MS;
+        }
+        all.extend(bench.wait(7_000 * MS));
+        all
+    };
+    assert_eq!(run(), run());
+}
