Readers ranked by read plus soonest hand-over from their cell; link jams seen by the age of what waits

Cause (heavy tail with slow links, read request by request): reads went to the cell whose one writer was full, and their states then waited seconds for the cell's link while other cells had room. Also holds for cut zones and full cells; may harm where all cells' writers are equally slow (ranking noise).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -104,6 +104,8 @@
 #[derive(Clone)]
 struct Job {
     kind: Kind,
+    /// Cell of the state that it fetches.
+    from: Option<u32>,
     sent: Time,
     /// When its work is held to have begun, and to end.
     start: Time,
@@ -209,6 +211,11 @@
     (h ^ (h >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 8
 }
 
+/// How a state of that cell gets to this writer.
+fn hand_kind(view: &View, from: Option<u32>) -> Kind {
+    if from.is_none_or(|cell| cell == view.entry.cell) { Kind::Near } else { Kind::Far }
+}
+
 /// One front's router.
 pub struct Router {
     set: Settings,
@@ -354,9 +361,13 @@
         self.predict(view, kind, x) * behind.fold(1.0, f64::max).min(10.0)
     }
 
-    /// Time from a send with a state to the first token; what waits there longer bounds it from below.
-    fn hand_time(&self, view: &View, kind: Kind, x: f64, now: Time) -> f64 {
-        let ages = view.waiting().map(|job| now.saturating_sub(job.sent) as f64);
+    /// Time from a send with a state of that cell to the first token. What waits at this writer, or for
+    /// the cell's link, bounds it from below: guards against jammed links and writers alike.
+    fn hand_time(&self, view: &View, from: Option<u32>, x: f64, now: Time) -> f64 {
+        let kind = hand_kind(view, from);
+        let link = self.views.values().filter(|_| kind == Kind::Far).flat_map(View::waiting);
+        let link = link.filter(|job| job.kind == Kind::Far && job.from == from);
+        let ages = view.waiting().chain(link).map(|job| now.saturating_sub(job.sent) as f64);
         ages.fold(self.predict(view, kind, x), f64::max)
     }
 
@@ -652,7 +663,7 @@
         // Guards against reads that no writer will take in time: memory and the wait before the first token.
         let tpot = self.set.classes.get(request.ask.class).map_or(0.0, |class| class.tpot_aim);
         let in_time = |v: &&View| {
-            self.hand_time(v, Kind::Near, request.ask.prompt, now) < left
+            self.hand_time(v, None, request.ask.prompt, now) < left
                 && self.token_time(v, tpot, request.ask.prompt, now) <= tpot
         };
         let room: Vec<&View> =
@@ -672,9 +683,16 @@
             of.into_iter().min_by_key(rank).map(|(_, view)| view.entry.server.clone())
         };
         if tries >= 2 && !room.is_empty() {
+            // A reader is judged by its read and the soonest hand-over from its cell.
+            let hand = |v: &View| {
+                let times =
+                    room.iter().map(|w| self.hand_time(w, Some(v.entry.cell), request.ask.prompt, now));
+                times.fold(f64::MAX, f64::min)
+            };
             // Rule 1: an idle reader.
             let idle = readers.iter().filter(|v| v.jobs.is_empty());
-            let idle = idle.map(|v| (read_time(v, Kind::Read) / request.aim.max(1.0), *v)).collect();
+            let idle =
+                idle.map(|v| ((read_time(v, Kind::Read) + hand(v)) / request.aim.max(1.0), *v)).collect();
             if let Some(server) = best(idle) {
                 return Some((server, Kind::Read));
             }
@@ -683,7 +701,7 @@
             let running = readers.iter().filter_map(|v| {
                 let due = v.jobs.values().map(|job| job.due).max().filter(|_| v.jobs.len() == 1)?;
                 let end = due.checked_sub(now)? as f64 + read_time(v, Kind::Read);
-                (end <= left).then_some((end / request.aim.max(1.0), *v))
+                (end <= left).then_some(((end + hand(v)) / request.aim.max(1.0), *v))
             });
             if let Some(server) = best(running.collect()) {
                 return Some((server, Kind::Read));
@@ -711,18 +729,14 @@
         };
         let left = request.aim - (now - request.arrived) as f64;
         let cell = self.views.get(reader).map(|view| view.entry.cell);
-        let near = |view: &View| cell.is_none_or(|cell| cell == view.entry.cell);
         let candidates = self
             .views
             .values()
             .filter(|v| v.role != Role::Prefill && self.may_send(now, id, Some(v)) && self.cold_room(v, now));
         let key = |view: &View| {
-            let (kind, handicap) = if near(view) {
-                (Kind::Near, 0.0)
-            } else {
-                (Kind::Far, FAR_HANDICAP * (request.ask.prompt + view.tokens()))
-            };
-            let late = self.hand_time(view, kind, request.ask.prompt, now) > left;
+            let far = hand_kind(view, cell) == Kind::Far;
+            let handicap = if far { FAR_HANDICAP * (request.ask.prompt + view.tokens()) } else { 0.0 };
+            let late = self.hand_time(view, cell, request.ask.prompt, now) > left;
             let poor = u32::from(!self.well(view, now))
                 + u32::from(view.strikes > 0)
                 + u32::from(request.avoid.contains(&view.entry.server));
@@ -731,9 +745,7 @@
         let best = candidates
             .map(|v| (key(v), v))
             .min_by(|(a, _), (b, _)| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
-        let Some((server, kind)) =
-            best.map(|(_, v)| (v.entry.server.clone(), if near(v) { Kind::Near } else { Kind::Far }))
-        else {
+        let Some((server, kind)) = best.map(|(_, v)| (v.entry.server.clone(), hand_kind(v, cell))) else {
             return false;
         };
         self.send(now, id, &server, kind, out)
@@ -803,6 +815,7 @@
             Kind::Read => view.jobs.values().map(|job| job.due).max().map_or(now, |due| due.max(now)),
             _ => now,
         };
+        let from = request.state.as_ref().and_then(|(at, _)| Some(self.views.get(at)?.entry.cell));
         let class = self.set.classes.get(request.ask.class);
         let tpot = class.map_or(0.0, |class| class.tpot_aim);
         let answer = if request.ask.hint > 0 && tpot > 0.0 {
@@ -817,6 +830,7 @@
         let timeout = if effect { left } else { left.min(patience as Time).max(1) };
         let job = Job {
             kind,
+            from,
             sent: now,
             start,
             due: start + time as Time,
