--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,6 +45,9 @@
 const TIE: f64 = 20.0;
 /// A writer in use is asked for its load once in this many TTFT aims.
 const PROBE_EVERY: f64 = 1.0;
+/// Reported waiting work that makes a writer full: a share of its KV tokens, or requests.
+const QUEUED: f64 = 0.04;
+const QUEUED_REQUESTS: f64 = 2.0;
 /// The one timer's name.
 const SWEEP: u64 = 1;
 
@@ -339,11 +342,16 @@
         let (Some(load), Some(view)) = (load, self.views.get_mut(server)) else {
             return;
         };
+        // A writer with a queue is full, whatever bounds it: slots are told nowhere else.
         let mut share: Option<f64> = None;
         for (field, value) in self.set.report_fields.iter().zip(load) {
-            if matches!(field, ReportField::MemoryShare | ReportField::Busy) {
-                share = Some(share.unwrap_or(0.0).max(value));
-            }
+            let part = match field {
+                ReportField::MemoryShare | ReportField::Busy => value,
+                ReportField::PendingThousands if value * 1000.0 > QUEUED * view.kv => 1.0,
+                ReportField::Queue if value >= QUEUED_REQUESTS => 1.0,
+                _ => continue,
+            };
+            share = Some(share.unwrap_or(0.0).max(part));
         }
         view.report = share.map(|share| (share, now)).or(view.report);
     }
