--- a/src/brain.rs
+++ b/src/brain.rs
@@ -674,8 +674,13 @@
             self.hand_time(v, None, request.ask.prompt, now) < left
                 && self.token_time(v, tpot, request.ask.prompt, now) <= tpot
         };
+        // Reads under way will need room too, and the other fronts have as many.
+        let reading: f64 =
+            self.views.values().filter(|v| v.role == Role::Prefill).map(View::tokens).sum::<f64>();
+        let kv: f64 = writers.iter().map(|v| v.kv).sum();
+        let coming = reading * f64::from(self.set.fronts) / kv.max(1.0);
         let room: Vec<&View> =
-            writers.iter().copied().filter(|v| self.memory(v, now) < MARK).filter(in_time).collect();
+            writers.iter().copied().filter(|v| self.memory(v, now) + coming < MARK && in_time(v)).collect();
         let read_time = |view: &View, kind: Kind| {
             let x = (request.ask.prompt - view.kept(&request.ask)).max(0.0);
             self.predict_now(view, kind, x, now)
