--- a/src/brain.rs
+++ b/src/brain.rs
@@ -674,11 +674,11 @@
             self.hand_time(v, None, request.ask.prompt, now) < left
                 && self.token_time(v, tpot, request.ask.prompt, now) <= tpot
         };
-        // Reads under way will need room too, and the other fronts have as many.
+        // Our reads under way will need room too.
         let reading: f64 =
             self.views.values().filter(|v| v.role == Role::Prefill).map(View::tokens).sum::<f64>();
         let kv: f64 = writers.iter().map(|v| v.kv).sum();
-        let coming = reading * f64::from(self.set.fronts) / kv.max(1.0);
+        let coming = reading / kv.max(1.0);
         let room: Vec<&View> =
             writers.iter().copied().filter(|v| self.memory(v, now) + coming < MARK && in_time(v)).collect();
         let read_time = |view: &View, kind: Kind| {
