Held requests go by worth over what is left to read

The paper's readers serve the shortest job first; here weighed by worth. Also holds in any shortage of readers; may starve long new prompts while it lasts (they are refused at the end of their wait).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,6 +48,8 @@
 /// Reported waiting work that makes a writer full: a share of its KV tokens, or requests.
 const QUEUED: f64 = 0.04;
 const QUEUED_REQUESTS: f64 = 2.0;
+/// Tokens below which a shorter read gains nothing.
+const LEAST_READ: f64 = 100.0;
 /// The one timer's name.
 const SWEEP: u64 = 1;
 
@@ -79,13 +81,8 @@
 
 impl Line {
     fn learn(&mut self, weight: f64, x: f64, y: f64) {
-        for (sum, new) in [
-            (&mut self.n, 1.0),
-            (&mut self.x, x),
-            (&mut self.y, y),
-            (&mut self.xx, x * x),
-            (&mut self.xy, x * y),
-        ] {
+        let sums = [&mut self.n, &mut self.x, &mut self.y, &mut self.xx, &mut self.xy];
+        for (sum, new) in sums.into_iter().zip([1.0, x, y, x * x, x * y]) {
             *sum = *sum * FIT_KEEP + weight * new;
         }
     }
@@ -633,7 +630,9 @@
         for id in self.held.iter().filter(|id| only.is_none_or(|only| only == **id)) {
             let Some(request) = self.requests.get(id) else { continue };
             let worth = self.set.classes.get(request.ask.class).map_or(0.0, |class| class.worth);
-            queue.push((request.over, -(worth * 1000.0) as i64, request.arrived, *id));
+            let kept = self.views.values().map(|view| view.kept(&request.ask)).fold(0.0, f64::max);
+            let gain = worth * request.ask.prompt / (request.ask.prompt - kept).max(LEAST_READ);
+            queue.push((request.over, -(gain * 1000.0) as i64, request.arrived, *id));
         }
         queue.sort_unstable();
         let mut misses = 0;
@@ -675,8 +674,8 @@
                 && self.token_time(v, tpot, request.ask.prompt, now) <= tpot
         };
         // Our reads under way will need room too.
-        let reading: f64 =
-            self.views.values().filter(|v| v.role == Role::Prefill).map(View::tokens).sum::<f64>();
+        let readers_all = self.views.values().filter(|v| v.role == Role::Prefill);
+        let reading: f64 = readers_all.map(View::tokens).sum();
         let kv: f64 = writers.iter().map(|v| v.kv).sum();
         let coming = reading / kv.max(1.0);
         let room: Vec<&View> =
