--- a/src/brain.rs
+++ b/src/brain.rs
@@ -263,6 +263,9 @@
             Event::Timer { .. } | Event::Place { .. } => {}
         }
         self.dispatch_held(now, new, out);
+        if let Some(id) = new.filter(|id| self.held.contains(id) && self.closing(now, *id)) {
+            self.finish(now, id, out);
+        }
         self.arm(out);
     }
 
@@ -288,6 +291,11 @@
         (self.set.let_go_by / 10).max(self.set.tick).max(1)
     }
 
+    /// Whether the client's time would be up before a later sweep could answer: answer now.
+    fn closing(&self, now: Time, id: ReqId) -> bool {
+        self.requests.get(&id).is_none_or(|request| now + 2 * self.sweep_every() >= request.deadline)
+    }
+
     // ---- The monitor ----
 
     fn servers(&mut self, now: Time, mode: ListMode, entries: Vec<Entry>, out: &mut Vec<Action>) {
@@ -336,9 +344,7 @@
     }
 
     fn report(&mut self, now: Time, server: &ServerId, load: Option<Vec<f64>>) {
-        let (Some(load), Some(view)) = (load, self.views.get_mut(server)) else {
-            return;
-        };
+        let (Some(load), Some(view)) = (load, self.views.get_mut(server)) else { return };
         // A writer with a queue is full, whatever bounds it: slots are told nowhere else.
         let mut share: Option<f64> = None;
         for (field, value) in self.set.report_fields.iter().zip(load) {
@@ -474,14 +480,10 @@
 
     fn first(&mut self, now: Time, id: ReqId, server: &ServerId) {
         let share = self.views.get(server).map_or(0.0, |view| self.memory(view, now));
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.streaming = true;
         (request.state, request.pinned) = (None, false);
-        let Some(view) = self.views.get_mut(server) else {
-            return;
-        };
+        let Some(view) = self.views.get_mut(server) else { return };
         (view.strikes, view.suspended) = (0, 0);
         let Some(job) = view.jobs.get_mut(&id) else { return };
         (job.first, job.share) = (Some(now), share);
@@ -500,11 +502,8 @@
         let Event::Ended { id, server, outcome, settled, note, load, .. } = event else { return };
         let server = &server;
         self.report(now, server, load);
-        let every = self.sweep_every();
         let job = self.views.get_mut(server).and_then(|view| view.jobs.remove(&id));
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.out = None;
         if let Some((_, since)) = &mut request.state {
             *since = now;
@@ -543,9 +542,8 @@
                 self.strike(server, now);
             }
         }
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let closing = self.closing(now, id);
+        let Some(request) = self.requests.get_mut(&id) else { return };
         if whole && !outcome.never_ran() && request.ran.is_none() {
             request.ran = Some((server.clone(), job.map_or(now, |job| job.sent)));
         }
@@ -554,7 +552,7 @@
                 out.push(Action::Release { id });
             }
             self.requests.remove(&id);
-        } else if outcome == Outcome::NotSent || now + 2 * every >= request.deadline {
+        } else if outcome == Outcome::NotSent || closing {
             self.finish(now, id, out);
         } else if request.state.is_none() || !self.hand_over(now, id, out) {
             if self.may_send(now, id, None) {
@@ -566,9 +564,7 @@
     }
 
     fn gone(&mut self, id: ReqId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.ended = true;
         self.held.remove(&id);
         if request.pinned {
@@ -590,7 +586,6 @@
             self.asked = Some(now + self.set.ask_within / 4);
             out.push(Action::Subscribe);
         }
-        let every = self.sweep_every();
         // Reports that do not come with answers are asked for, of servers that we have work at.
         if self.set.may_probe && !self.set.reports_in_answers && !self.set.report_fields.is_empty() {
             let spacing = (PROBE_EVERY * self.least_aim()) as Time;
@@ -613,9 +608,8 @@
                 out.push(Action::Release { id });
             }
             // The wait ends early for what has not been tried; always before the client's time is up.
-            let last = request.deadline.saturating_sub(2 * every);
-            let early = request.arrived + (HOLD * request.aim) as Time;
-            if now >= last || (request.tries == 0 && now >= early) {
+            let early = request.tries == 0 && now >= request.arrived + (HOLD * request.aim) as Time;
+            if early || self.closing(now, id) {
                 self.finish(now, id, out);
             }
         }
@@ -733,12 +727,8 @@
 
     /// Sends a read request on to the writer with the fewest own tokens running.
     fn hand_over(&mut self, now: Time, id: ReqId, out: &mut Vec<Action>) -> bool {
-        let Some(request) = self.requests.get(&id) else {
-            return false;
-        };
-        let Some((reader, _)) = &request.state else {
-            return false;
-        };
+        let Some(request) = self.requests.get(&id) else { return false };
+        let Some((reader, _)) = &request.state else { return false };
         let left = request.aim - (now - request.arrived) as f64;
         let cell = self.views.get(reader).map(|view| view.entry.cell);
         let candidates = self
@@ -767,9 +757,7 @@
 
     /// Whether another attempt is allowed, at any server or at this one.
     fn may_send(&self, now: Time, id: ReqId, to: Option<&View>) -> bool {
-        let Some(request) = self.requests.get(&id) else {
-            return false;
-        };
+        let Some(request) = self.requests.get(&id) else { return false };
         let open = !request.ended
             && !request.streaming
             && request.out.is_none()
@@ -809,15 +797,11 @@
     }
 
     fn send(&mut self, now: Time, id: ReqId, server: &ServerId, kind: Kind, out: &mut Vec<Action>) -> bool {
-        let Some(view) = self.views.get(server) else {
-            return false;
-        };
+        let Some(view) = self.views.get(server) else { return false };
         if !self.may_send(now, id, Some(view)) || !self.cold_room(view, now) {
             return false;
         }
-        let Some(request) = self.requests.get(&id) else {
-            return false;
-        };
+        let Some(request) = self.requests.get(&id) else { return false };
         let x = match kind {
             Kind::Read | Kind::Whole => (request.ask.prompt - view.kept(&request.ask)).max(0.0),
             Kind::Near | Kind::Far | Kind::Stream => request.ask.prompt,
@@ -855,9 +839,7 @@
             tpot,
             charged: 0.0,
         };
-        let Some(request) = self.requests.get_mut(&id) else {
-            return false;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return false };
         request.out = Some((server.clone(), request.tries));
         request.tries += 1;
         request.pinned |= kind == Kind::Read;
@@ -880,9 +862,7 @@
 
     /// The one final answer: a refusal where nothing can have run (or repeats are harmless), else a failure.
     fn finish(&mut self, now: Time, id: ReqId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.remove(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.remove(&id) else { return };
         self.held.remove(&id);
         if request.pinned {
             out.push(Action::Release { id });
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -284,6 +284,58 @@
     assert_eq!(final_answers(&bench.end(1, 0, &reader, Outcome::TimedOut, 0), 1), 1);
 }
 
+#[test]
+fn a_request_with_hardly_any_time_left_is_answered_on_arrival() {
+    let mut bench = Bench::new(&["r1"]);
+    let ask = Arrival { time_left: 25 * MS, ..arrival(1, 1_000.0) };
+    assert_eq!(final_answers(&bench.pass(Event::Arrived(ask)), 1), 1);
+}
+
+#[test]
+fn held_requests_with_less_left_to_read_go_first() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    let of_session =
+        |id, session: &str| Arrival { session: Some(TextKey(session.into())), ..arrival(id, 4_000.0) };
+    bench.pass(Event::Arrived(of_session(1, "known")));
+    bench.end(1, 0, "r1", Outcome::Read, 0);
+    bench.end(1, 1, "w1", Outcome::Served, 0);
+    bench.list(ListMode::Changes, vec![entry("w1", Listed::Draining, 0)]);
+    assert_eq!(sent_to(&bench.pass(Event::Arrived(of_session(2, "new")))), None);
+    assert_eq!(sent_to(&bench.pass(Event::Arrived(of_session(3, "known")))), None);
+    let done = bench.list(ListMode::Changes, vec![entry("w1", Listed::Running, 0)]);
+    assert!(matches!(&done[0], Action::Send { id: ReqId(3), .. }), "{done:?}");
+}
+
+#[test]
+fn a_writer_that_reports_a_queue_counts_as_full() {
+    let mut settings = example_settings();
+    (settings.report_fields, settings.may_probe) =
+        (vec![ReportField::MemoryShare, ReportField::PendingThousands], true);
+    let mut bench = Bench::with(settings, &["r1", "w1"]);
+    let mut report = |load: Vec<f64>, id| {
+        let outcome = Outcome::Served;
+        bench.pass(Event::Probed { server: server("w1"), outcome, took: 0, load: Some(load) });
+        sent_to(&bench.arrive(id, 1_000.0))
+    };
+    assert_eq!(report(vec![0.5, 20.0], 1), None);
+    assert_eq!(report(vec![0.5, 0.0], 2).as_deref(), Some("r1"));
+}
+
+#[test]
+fn a_read_keeps_away_from_a_cell_whose_link_is_jammed() {
+    let reader_after = |wait, session: u32| {
+        let mut bench = Bench::new(&["r2", "w1a", "w1b"]);
+        bench.arrive(1, 1_000.0);
+        assert!(sent_to(&bench.end(1, 0, "r2", Outcome::Read, 0)).is_some());
+        bench.list(ListMode::Changes, vec![entry("r1", Listed::Running, 0)]);
+        bench.now += wait;
+        let session = Some(TextKey(format!("s{session}").into()));
+        sent_to(&bench.pass(Event::Arrived(Arrival { session, ..arrival(2, 100.0) }))).unwrap()
+    };
+    assert!((0..12).any(|session| reader_after(0, session) == "r2"), "nothing waits yet: any reader will do");
+    assert!((0..12).all(|session| reader_after(200 * MS, session) == "r1"));
+}
+
 #[test]
 fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
     for (outcome, fails) in
