--- a/src/brain.rs
+++ b/src/brain.rs
@@ -138,7 +138,6 @@
     /// When its streams will have made up for the reads that all fronts gave it.
     absorbed: Time,
     strikes: u32,
-    struck: Time,
     suspended: Time,
     sends: VecDeque<Time>,
 }
@@ -159,14 +158,6 @@
         })
     }
 
-    /// An attempt has fully succeeded. Guards against servers that begin answers and break them: a first
-    /// token clears nothing, nor does work that was sent before the last failure.
-    fn cleared(&mut self, sent: Time) {
-        if sent >= self.struck {
-            (self.strikes, self.suspended) = (0, 0);
-        }
-    }
-
     fn kept(&self, ask: &Arrival) -> f64 {
         let of = |key: &Option<TextKey>, most: f64| {
             key.as_ref().and_then(|key| self.kept.get(key)).map_or(0.0, |(tokens, _)| tokens.min(most))
@@ -339,7 +330,6 @@
                 probed: 0,
                 absorbed: 0,
                 strikes: 0,
-                struck: 0,
                 suspended: 0,
                 sends: VecDeque::new(),
             });
@@ -413,7 +403,6 @@
         if let Some(view) = self.views.get_mut(server) {
             let span = base * f64::from(1u32 << view.strikes.min(SUSPEND_DOUBLINGS));
             view.strikes += 1;
-            view.struck = now;
             view.suspended = now + span as Time;
         }
     }
@@ -495,6 +484,7 @@
         request.streaming = true;
         (request.state, request.pinned) = (None, false);
         let Some(view) = self.views.get_mut(server) else { return };
+        (view.strikes, view.suspended) = (0, 0);
         let Some(job) = view.jobs.get_mut(&id) else { return };
         (job.first, job.share) = (Some(now), share);
         let job = job.clone();
@@ -525,16 +515,13 @@
                 if let (Some(view), Some(job)) = (self.views.get_mut(server), &job) {
                     let start = job.start.max(view.last_read_end);
                     view.last_read_end = now;
-                    view.cleared(job.sent);
+                    (view.strikes, view.suspended) = (0, 0);
                     view.remember(&request.ask, note as f64, now);
                     let x = (request.ask.prompt - note as f64).max(0.0);
                     self.learn(server, Kind::Read, 1.0, x, (now - start.min(now)) as f64);
                 }
             }
             Outcome::Served => {
-                if let (Some(view), Some(job)) = (self.views.get_mut(server), &job) {
-                    view.cleared(job.sent);
-                }
                 // The whole answer over its hinted tokens, against the memory share it ran in.
                 let share = self.views.get(server).map_or(0.0, |view| self.memory(view, now));
                 if let Some((job, first)) = job.as_ref().and_then(|j| Some((j, j.first?)))
