--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,6 +33,8 @@
 const LET_GO: f64 = 0.6;
 /// Share of the cold budget that is used: the rest is room for uneven splits among fronts.
 const COLD_USE: f64 = 0.6;
+/// Share of the most that a warm server has taken from us that counts as what its like can take.
+const PEAK_USE: f64 = 0.5;
 /// A report older than this many TTFT aims is no evidence.
 const REPORT_LIFE: f64 = 2.0;
 /// A state that leaves its cell counts as this many times its tokens at the far writer.
@@ -224,6 +226,8 @@
     requests: BTreeMap<ReqId, Request>,
     held: BTreeSet<ReqId>,
     fits: [Line; 5],
+    /// By role: the most sends that a warm server has taken from us within the cold window.
+    peak: [f64; 3],
     quota: Vec<(f64, Time)>,
     armed: bool,
     asked: Option<Time>,
@@ -240,6 +244,7 @@
             requests: BTreeMap::new(),
             held: BTreeSet::new(),
             fits: [Line::default(); 5],
+            peak: [0.0; 3],
             quota,
             armed: false,
             asked: None,
@@ -793,7 +798,8 @@
         let warm: Vec<f64> =
             self.views.values().filter(|v| v.role == view.role && !cold(v)).map(count).collect();
         let mean = warm.iter().sum::<f64>() / (warm.len() as f64).max(1.0);
-        count(view) + 1.0 <= (COLD_USE * self.set.fall_multiple * self.set.cold_from * mean).max(1.0)
+        let able = mean.max(PEAK_USE * self.peak[view.role as usize]);
+        count(view) + 1.0 <= (COLD_USE * self.set.fall_multiple * self.set.cold_from * able).max(1.0)
     }
 
     fn send(&mut self, now: Time, id: ReqId, server: &ServerId, kind: Kind, out: &mut Vec<Action>) -> bool {
@@ -855,6 +861,10 @@
             while view.sends.front().is_some_and(|at| at + self.set.tip_after < now) {
                 view.sends.pop_front();
             }
+            if view.entry.ready_at == 0 || now >= view.entry.ready_at + self.set.cold_for {
+                let peak = &mut self.peak[view.role as usize];
+                *peak = peak.max(view.sends.len() as f64);
+            }
         }
         out.push(Action::Send { id, server: server.clone(), timeout });
         true
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -537,3 +537,26 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn a_cold_server_is_used_when_no_warm_one_is_left() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    for id in 0..40 {
+        bench.arrive(id, 100.0);
+        bench.end(id, 0, "r1", Outcome::Read, 0);
+        bench.first(id, 1, "w1");
+        bench.end(id, 1, "w1", Outcome::Served, 0);
+    }
+    let started = bench.now;
+    let entries = vec![entry("r1", Listed::Gone, 0), entry("r2", Listed::Running, started)];
+    bench.list(ListMode::Changes, entries);
+    let mut reads = 0;
+    for id in 100..130 {
+        if sent_to(&bench.arrive(id, 100.0)).as_deref() == Some("r2") {
+            reads += 1;
+            bench.end(id, 0, "r2", Outcome::Read, 0);
+        }
+    }
+    // Half of the 40 that a warm one took, times 3 x 0.3 of the rule, less the room for uneven fronts.
+    assert!((5..=18).contains(&reads), "{reads} reads");
+}
