--- a/src/brain.rs
+++ b/src/brain.rs
@@ -438,10 +438,8 @@
     fn slack(&self, view: &View, now: Time) -> f64 {
         let slack = view.jobs.values().filter(|job| job.kind != Kind::Read).map(|job| match job.first {
             Some(first) => {
-                // A stream lives on: half of its hinted length is as good as time already gone by.
-                let pace = self.token_time(view, job.tpot, 0.0, now).max(1.0);
-                let lives = ((now - first) as f64).max(job.hinted * pace / 2.0);
-                lives * (job.tpot / pace - 1.0) - job.charged
+                let spare = job.tpot / self.token_time(view, job.tpot, 0.0, now).max(1.0) - 1.0;
+                (now - first) as f64 * spare - job.charged
             }
             None if job.kind == Kind::Whole => 0.0,
             None => job.aim,
