--- a/src/brain.rs
+++ b/src/brain.rs
@@ -428,7 +428,7 @@
         let common = || 2 * peers().filter(|v| v.strikes > 0 || v.overdue(now)).count() > peers().count();
         let trial = view.strikes == 0
             || (now >= view.suspended && view.waiting().next().is_none())
-            || (view.late_only && common());
+            || (view.late_only && view.role == Role::Prefill && common());
         trial && !view.overdue(now)
     }
 
