--- a/src/brain.rs
+++ b/src/brain.rs
@@ -140,8 +140,6 @@
     /// When its streams will have made up for the reads that all fronts gave it.
     absorbed: Time,
     strikes: u32,
-    /// All of its strikes are time-outs.
-    late_only: bool,
     suspended: Time,
     sends: VecDeque<Time>,
 }
@@ -337,7 +335,6 @@
                 probed: 0,
                 absorbed: 0,
                 strikes: 0,
-                late_only: false,
                 suspended: 0,
                 sends: VecDeque::new(),
             });
@@ -406,11 +403,10 @@
         self.predict(view, Kind::Stream, share).max(NOMINAL * tpot)
     }
 
-    fn strike(&mut self, server: &ServerId, now: Time, late: bool) {
+    fn strike(&mut self, server: &ServerId, now: Time) {
         let base = SUSPEND * self.least_aim();
         if let Some(view) = self.views.get_mut(server) {
             let span = base * f64::from(1u32 << view.strikes.min(SUSPEND_DOUBLINGS));
-            view.late_only = late && (view.strikes == 0 || view.late_only);
             view.strikes += 1;
             view.suspended = now + span as Time;
         }
@@ -421,14 +417,7 @@
         if view.entry.listed != Listed::Running || !self.cold_room(view, now) {
             return false;
         }
-        // Guards against ejecting servers for a slowness that all share: where more than half of a role
-        // are suspects, their time-outs speak of the load, not of them.
-        let peers =
-            || self.views.values().filter(|v| v.role == view.role && v.entry.listed == Listed::Running);
-        let common = || 2 * peers().filter(|v| v.strikes > 0 || v.overdue(now)).count() > peers().count();
-        let trial = view.strikes == 0
-            || (now >= view.suspended && view.waiting().next().is_none())
-            || (view.late_only && view.role == Role::Prefill && common());
+        let trial = view.strikes == 0 || (now >= view.suspended && view.waiting().next().is_none());
         trial && !view.overdue(now)
     }
 
@@ -555,7 +544,7 @@
             }
             _ => {
                 request.avoid.insert(server.clone());
-                self.strike(server, now, outcome == Outcome::TimedOut);
+                self.strike(server, now);
             }
         }
         let closing = self.closing(now, id);
