--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,7 @@
 /// Nominal pace of a stream, as a share of its TPOT aim: what it needs when nothing disturbs it.
 const NOMINAL: f64 = 0.6;
 /// A request waits at the router for this share of its TTFT aim at most.
-const HOLD: f64 = 0.35;
+const HOLD: f64 = 0.38;
 /// First suspension of a server after a failure, as a share of the shortest TTFT aim; it doubles.
 const SUSPEND: f64 = 0.5;
 const SUSPEND_DOUBLINGS: u32 = 4;
