--- a/src/brain.rs
+++ b/src/brain.rs
@@ -827,7 +827,7 @@
         };
         let effect = kind != Kind::Read && class.is_none_or(|class| class.repeat == Repeat::Unsafe);
         let patience = (GIVE_UP * time + (start - now) as f64).max(GIVE_UP_AIM * request.aim)
-            * f64::from(1u32 << request.avoid.len().min(4));
+            * f64::from(1u32 << request.tries.min(4));
         let left = request.deadline - now;
         let timeout = if effect { left } else { left.min(patience as Time).max(1) };
         let job = Job {
