--- a/src/brain.rs
+++ b/src/brain.rs
@@ -668,9 +668,11 @@
             self.views.values().filter(|v| v.role == Role::Prefill).filter(fits).collect();
         // Guards against reads that no writer will take in time: memory and the wait before the first token.
         let tpot = self.set.classes.get(request.ask.class).map_or(0.0, |class| class.tpot_aim);
+        // A pace fitted to a few answers must not shut writers that are half empty.
         let in_time = |v: &&View| {
             self.hand_time(v, None, request.ask.prompt, now) < left
-                && self.token_time(v, tpot, request.ask.prompt, now) <= tpot
+                && (self.memory(v, now) < MARK / 2.0
+                    || self.token_time(v, tpot, request.ask.prompt, now) <= tpot)
         };
         // Our reads under way will need room too.
         let readers_all = self.views.values().filter(|v| v.role == Role::Prefill);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -560,3 +560,14 @@
     // Half of the 40 that a warm one took, times 3 x 0.3 of the rule, less the room for uneven fronts.
     assert!((5..=18).contains(&reads), "{reads} reads");
 }
+
+#[test]
+fn one_answer_far_longer_than_its_hint_does_not_shut_empty_writers() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    bench.pass(Event::Arrived(Arrival { hint: 60 * MS, ..arrival(1, 1_000.0) }));
+    bench.end(1, 0, "r1", Outcome::Read, 0);
+    bench.first(1, 1, "w1");
+    bench.now += 2_000 * MS;
+    bench.end(1, 1, "w1", Outcome::Served, 0);
+    assert_eq!(sent_to(&bench.arrive(2, 1_000.0)).as_deref(), Some("r1"));
+}
