--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,7 +28,7 @@
 const HOLD: f64 = 0.38;
 /// First suspension of a server after a failure, as a share of the shortest TTFT aim; it doubles.
 const SUSPEND: f64 = 0.5;
-const SUSPEND_DOUBLINGS: u32 = 2;
+const SUSPEND_DOUBLINGS: u32 = 4;
 /// A state that no writer takes is let go after this share of the time that the rule allows.
 const LET_GO: f64 = 0.6;
 /// Share of the cold budget that is used: the rest is room for uneven splits among fronts.
