Make room: place as one short ordered function, fitted pace of answers dropped (trial)

Hand-overs and link ages are worked out once for each request instead of once for each pair of servers.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,8 +67,6 @@
     /// A state fetched inside its cell, or from another one.
     Near = 2,
     Far = 3,
-    /// A running answer: microseconds a token over the share of KV memory held.
-    Stream = 4,
 }
 
 /// A line fitted to answers, older ones fading: microseconds over tokens.
@@ -116,11 +114,6 @@
     tokens: f64,
     aim: f64,
     first: Option<Time>,
-    /// Length of the answer as hinted, 0 where it is not; share of memory held at its first token.
-    hinted: f64,
-    share: f64,
-    /// TPOT aim.
-    tpot: f64,
     /// Read time of ours that has stalled this stream.
     charged: f64,
 }
@@ -131,7 +124,7 @@
     kv: f64,
     jobs: BTreeMap<ReqId, Job>,
     /// Own pace against the common fits, by kind of attempt.
-    pace: [f64; 5],
+    pace: [f64; 4],
     last_read_end: Time,
     kept: BTreeMap<TextKey, (f64, Time)>,
     /// Memory share, other business, and when told.
@@ -153,6 +146,26 @@
         self.jobs.values().filter(|job| job.first.is_none())
     }
 
+    /// Rule 1.
+    fn idle(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Rule 2: when the one read that runs will end. A predicted end that has passed is no evidence.
+    fn runs_until(&self, now: Time) -> Option<f64> {
+        let due = self.jobs.values().map(|job| job.due).max().filter(|_| self.jobs.len() == 1)?;
+        Some(due.checked_sub(now)? as f64)
+    }
+
+    /// Age of the oldest attempt that waits here.
+    fn oldest(&self, now: Time) -> f64 {
+        self.waiting().map(|job| now.saturating_sub(job.sent) as f64).fold(0.0, f64::max)
+    }
+
+    fn unread(&self, ask: &Arrival) -> f64 {
+        (ask.prompt - self.kept(ask)).max(0.0)
+    }
+
     fn overdue(&self, now: Time) -> bool {
         self.waiting().any(|job| {
             let age = now.saturating_sub(job.start) as f64;
@@ -207,6 +220,14 @@
     avoid: BTreeSet<ServerId>,
 }
 
+impl Request {
+    /// Time left within the aim, after it to the deadline.
+    fn left(&self, now: Time) -> f64 {
+        let age = (now - self.arrived) as f64;
+        if age < self.aim { self.aim - age } else { self.deadline.saturating_sub(now) as f64 }
+    }
+}
+
 fn hash(one: &str, other: &str) -> u64 {
     let mix = |h: u64, byte: u8| (h ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
     let h = one.bytes().chain([0]).chain(other.bytes()).fold(0xcbf2_9ce4_8422_2325, mix);
@@ -225,7 +246,7 @@
     views: BTreeMap<ServerId, View>,
     requests: BTreeMap<ReqId, Request>,
     held: BTreeSet<ReqId>,
-    fits: [Line; 5],
+    fits: [Line; 4],
     /// By role: the most sends that a warm server has taken from us within the cold window.
     peak: [f64; 3],
     quota: Vec<(f64, Time)>,
@@ -243,7 +264,7 @@
             views: BTreeMap::new(),
             requests: BTreeMap::new(),
             held: BTreeSet::new(),
-            fits: [Line::default(); 5],
+            fits: [Line::default(); 4],
             peak: [0.0; 3],
             quota,
             armed: false,
@@ -328,7 +349,7 @@
                 role,
                 kv,
                 jobs: BTreeMap::new(),
-                pace: [1.0; 5],
+                pace: [1.0; 4],
                 last_read_end: 0,
                 kept: BTreeMap::new(),
                 report: None,
@@ -340,7 +361,7 @@
             });
             if entry.ready_at != view.entry.ready_at {
                 // A new process: what was known of the old one is void.
-                (view.pace, view.report, view.strikes, view.suspended) = ([1.0; 5], None, 0, 0);
+                (view.pace, view.report, view.strikes, view.suspended) = ([1.0; 4], None, 0, 0);
                 view.kept.clear();
             }
             (view.entry, view.role, view.kv) = (entry, role, kv);
@@ -377,14 +398,16 @@
         self.predict(view, kind, x) * behind.fold(1.0, f64::max).min(10.0)
     }
 
-    /// Time from a send with a state of that cell to the first token. What waits at this writer, or for
-    /// the cell's link, bounds it from below: guards against jammed links and writers alike.
-    fn hand_time(&self, view: &View, from: Option<u32>, x: f64, now: Time) -> f64 {
-        let kind = hand_kind(view, from);
-        let link = self.views.values().filter(|_| kind == Kind::Far).flat_map(View::waiting);
-        let link = link.filter(|job| job.kind == Kind::Far && job.from == from);
-        let ages = view.waiting().chain(link).map(|job| now.saturating_sub(job.sent) as f64);
-        ages.fold(self.predict(view, kind, x), f64::max)
+    /// By cell: the age of the oldest of our states that waits for its link.
+    fn links(&self, now: Time) -> BTreeMap<u32, f64> {
+        let mut ages = BTreeMap::new();
+        for job in self.views.values().flat_map(View::waiting).filter(|job| job.kind == Kind::Far) {
+            if let Some(cell) = job.from {
+                let age: &mut f64 = ages.entry(cell).or_default();
+                *age = age.max(now.saturating_sub(job.sent) as f64);
+            }
+        }
+        ages
     }
 
     /// An answer moves its server's pace against the common line, then the line by what is left.
@@ -397,12 +420,6 @@
         fit.learn(weight, x, y / pace.max(0.05));
     }
 
-    /// Microseconds a token that a stream can expect at this writer, at the least the nominal pace.
-    fn token_time(&self, view: &View, tpot: f64, more: f64, now: Time) -> f64 {
-        let share = self.memory(view, now) + if view.kv > 0.0 { more / view.kv } else { 0.0 };
-        self.predict(view, Kind::Stream, share).max(NOMINAL * tpot)
-    }
-
     fn strike(&mut self, server: &ServerId, now: Time) {
         let base = SUSPEND * self.least_aim();
         if let Some(view) = self.views.get_mut(server) {
@@ -435,12 +452,9 @@
         }
     }
 
-    fn slack(&self, view: &View, now: Time) -> f64 {
+    fn slack(view: &View, now: Time) -> f64 {
         let slack = view.jobs.values().filter(|job| job.kind != Kind::Read).map(|job| match job.first {
-            Some(first) => {
-                let spare = job.tpot / self.token_time(view, job.tpot, 0.0, now).max(1.0) - 1.0;
-                (now - first) as f64 * spare - job.charged
-            }
+            Some(first) => (now - first) as f64 * (1.0 / NOMINAL - 1.0) - job.charged,
             None if job.kind == Kind::Whole => 0.0,
             None => job.aim,
         });
@@ -484,14 +498,13 @@
     }
 
     fn first(&mut self, now: Time, id: ReqId, server: &ServerId) {
-        let share = self.views.get(server).map_or(0.0, |view| self.memory(view, now));
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.streaming = true;
         (request.state, request.pinned) = (None, false);
         let Some(view) = self.views.get_mut(server) else { return };
         (view.strikes, view.suspended) = (0, 0);
         let Some(job) = view.jobs.get_mut(&id) else { return };
-        (job.first, job.share) = (Some(now), share);
+        job.first = Some(now);
         let job = job.clone();
         if job.kind == Kind::Whole {
             let spent = now - job.start;
@@ -526,17 +539,7 @@
                     self.learn(server, Kind::Read, 1.0, x, (now - start.min(now)) as f64);
                 }
             }
-            Outcome::Served => {
-                // The whole answer over its hinted tokens, against the memory share it ran in.
-                let share = self.views.get(server).map_or(0.0, |view| self.memory(view, now));
-                if let Some((job, first)) = job.as_ref().and_then(|j| Some((j, j.first?)))
-                    && job.hinted > 0.0
-                {
-                    let y = (now - first) as f64 / job.hinted;
-                    self.learn(server, Kind::Stream, job.hinted, (share + job.share) / 2.0, y);
-                }
-            }
-            Outcome::NotSent | Outcome::Cancelled => {}
+            Outcome::Served | Outcome::NotSent | Outcome::Cancelled => {}
             Outcome::Full if note == 1 => {
                 // The state may only be out of reach, behind a cut: let go of it before reading anew.
                 request.state = None;
@@ -653,81 +656,79 @@
     fn place(&mut self, now: Time, id: ReqId) -> Option<(ServerId, Kind)> {
         let salt = (self.random() * 2f64.powi(53)) as u64;
         let request = self.requests.get(&id)?;
-        let age = (now - request.arrived) as f64;
-        let left =
-            if age < request.aim { request.aim - age } else { request.deadline.saturating_sub(now) as f64 };
-        let tries = self.set.most_tries.saturating_sub(request.tries);
-        let fits = |view: &&View| {
+        let (ask, left) = (&request.ask, request.left(now));
+        let usable = |view: &&View| {
             self.well(view, now)
                 && !request.avoid.contains(&view.entry.server)
                 && self.may_send(now, id, Some(view))
         };
-        let writers: Vec<&View> =
-            self.views.values().filter(|v| v.role != Role::Prefill).filter(fits).collect();
-        let readers: Vec<&View> =
-            self.views.values().filter(|v| v.role == Role::Prefill).filter(fits).collect();
-        // Guards against reads that no writer will take in time: memory and the wait before the first token.
-        let tpot = self.set.classes.get(request.ask.class).map_or(0.0, |class| class.tpot_aim);
-        // A pace fitted to a few answers must not shut writers that are half empty.
-        let in_time = |v: &&View| {
-            self.hand_time(v, None, request.ask.prompt, now) < left
-                && (self.memory(v, now) < MARK / 2.0
-                    || self.token_time(v, tpot, request.ask.prompt, now) <= tpot)
-        };
-        // Our reads under way will need room too.
-        let readers_all = self.views.values().filter(|v| v.role == Role::Prefill);
-        let reading: f64 = readers_all.map(View::tokens).sum();
-        let kv: f64 = writers.iter().map(|v| v.kv).sum();
-        let coming = reading / kv.max(1.0);
-        let room: Vec<&View> =
-            writers.iter().copied().filter(|v| self.memory(v, now) + coming < MARK && in_time(v)).collect();
-        let read_time = |view: &View, kind: Kind| {
-            let x = (request.ask.prompt - view.kept(&request.ask)).max(0.0);
-            self.predict_now(view, kind, x, now)
-        };
-        // Ties go by a hash of session and server: all fronts then find a session's kept text at the
-        // same reader without a word between them, and sessions spread over the readers.
-        let home = |view: &View| match &request.ask.session {
-            Some(key) => hash(&key.0, &view.entry.server.0),
-            None => hash(&view.entry.server.0, "") ^ salt,
-        };
-        let best = |of: Vec<(f64, &View)>| {
-            let rank = |(time, view): &(f64, &View)| ((time * TIE).round() as u64, home(view));
-            of.into_iter().min_by_key(rank).map(|(_, view)| view.entry.server.clone())
-        };
-        if tries >= 2 && !room.is_empty() {
-            // A reader is judged by its read and the soonest hand-over from its cell.
-            let hand = |v: &View| {
-                let times =
-                    room.iter().map(|w| self.hand_time(w, Some(v.entry.cell), request.ask.prompt, now));
-                times.fold(f64::MAX, f64::min)
+        let (readers, writers): (Vec<&View>, Vec<&View>) =
+            self.views.values().filter(usable).partition(|v| v.role == Role::Prefill);
+        let room = self.with_room(now, request, writers);
+        let hand = self.soonest_hand(now, &room, ask.prompt);
+        let best = |times: Vec<(f64, &View)>, kind: Kind| {
+            // Near times are a tie, which goes by a hash of session and server: all fronts then find a
+            // session's kept text at the same reader without a word between them.
+            let rank = |(time, view): &(f64, &View)| {
+                let home = match &ask.session {
+                    Some(key) => hash(&key.0, &view.entry.server.0),
+                    None => hash(&view.entry.server.0, "") ^ salt,
+                };
+                ((time * TIE / request.aim.max(1.0)).round() as u64, home)
             };
-            // Rule 1: an idle reader.
-            let idle = readers.iter().filter(|v| v.jobs.is_empty());
-            let idle =
-                idle.map(|v| ((read_time(v, Kind::Read) + hand(v)) / request.aim.max(1.0), *v)).collect();
-            if let Some(server) = best(idle) {
-                return Some((server, Kind::Read));
-            }
-            // Rule 2: a running reader with nothing waiting that will be on time. A predicted end
-            // that has passed is no evidence of that.
-            let running = readers.iter().filter_map(|v| {
-                let due = v.jobs.values().map(|job| job.due).max().filter(|_| v.jobs.len() == 1)?;
-                let end = due.checked_sub(now)? as f64 + read_time(v, Kind::Read);
-                (end <= left).then_some(((end + hand(v)) / request.aim.max(1.0), *v))
-            });
-            if let Some(server) = best(running.collect()) {
-                return Some((server, Kind::Read));
-            }
-        }
+            times.into_iter().min_by_key(rank).map(|(_, view)| (view.entry.server.clone(), kind))
+        };
+        let read = |view: &View, kind: Kind| self.predict_now(view, kind, view.unread(ask), now);
+        let readable = room.len().min(self.set.most_tries.saturating_sub(request.tries + 1) as usize) > 0;
+        let readers = readers.into_iter().filter(|_| readable).filter_map(|v| Some((hand(v)?, v)));
+        let readers: Vec<(f64, &View)> = readers.collect();
+        // Rule 1: an idle reader, judged by its read and the soonest hand-over from its cell.
+        let idle = readers.iter().filter(|(_, v)| v.idle()).map(|(hand, v)| (read(v, Kind::Read) + hand, *v));
+        // Rule 2: a running reader with nothing waiting that will be on time.
+        let on_time = readers.iter().filter_map(|(hand, v)| {
+            let end = v.runs_until(now)? + read(v, Kind::Read);
+            (end <= left).then_some((end + hand, *v))
+        });
         // Rule 3: a writer under its memory mark whose streams all have slack above this read.
-        let absorbing = room.iter().filter(|v| v.role == Role::Mixed || self.set.writers_read);
-        let absorbing = absorbing.filter_map(|v| {
-            let time = read_time(v, Kind::Whole);
-            (time <= left && now >= v.absorbed && self.slack(v, now) > time)
-                .then_some((time / request.aim.max(1.0), *v))
+        let absorbs = room.iter().filter(|v| v.role == Role::Mixed || self.set.writers_read);
+        let absorbs = absorbs.filter_map(|v| {
+            let time = read(v, Kind::Whole);
+            (time <= left && now >= v.absorbed && Self::slack(v, now) > time).then_some((time, *v))
         });
-        best(absorbing.collect()).map(|server| (server, Kind::Whole))
+        best(idle.collect(), Kind::Read)
+            .or_else(|| best(on_time.collect(), Kind::Read))
+            .or_else(|| best(absorbs.collect(), Kind::Whole))
+    }
+
+    /// Writers under their memory mark, our reads under way counted, that begin a stream in time.
+    /// Guards against reads that no writer will take.
+    fn with_room<'a>(&self, now: Time, request: &Request, writers: Vec<&'a View>) -> Vec<&'a View> {
+        let reading: f64 = self.views.values().filter(|v| v.role == Role::Prefill).map(View::tokens).sum();
+        let coming = reading / writers.iter().map(|v| v.kv).sum::<f64>().max(1.0);
+        let (left, prompt) = (request.left(now), request.ask.prompt);
+        let room = |v: &&View| {
+            self.memory(v, now) + coming < MARK
+                && v.oldest(now).max(self.predict(v, Kind::Near, prompt)) < left
+        };
+        writers.into_iter().filter(room).collect()
+    }
+
+    /// The soonest hand-over of a state from a reader's cell to any of these writers.
+    fn soonest_hand<'a>(&self, now: Time, room: &[&View], x: f64) -> impl Fn(&View) -> Option<f64> + 'a {
+        let (mut near, mut far) = (BTreeMap::new(), None::<f64>);
+        for view in room {
+            let [close, away] =
+                [Kind::Near, Kind::Far].map(|kind| view.oldest(now).max(self.predict(view, kind, x)));
+            let least: &mut f64 = near.entry(view.entry.cell).or_insert(close);
+            *least = least.min(close);
+            far = Some(far.map_or(away, |least| least.min(away)));
+        }
+        let links = self.links(now);
+        move |reader| {
+            let jam = links.get(&reader.entry.cell).copied().unwrap_or(0.0);
+            let near = near.get(&reader.entry.cell).copied();
+            near.into_iter().chain(far.map(|far| far.max(jam))).reduce(f64::min)
+        }
     }
 
     // ---- The writer pick ----
@@ -738,6 +739,7 @@
         let Some((reader, _)) = &request.state else { return false };
         let left = request.aim - (now - request.arrived) as f64;
         let cell = self.views.get(reader).map(|view| view.entry.cell);
+        let jam = cell.and_then(|cell| self.links(now).get(&cell).copied()).unwrap_or(0.0);
         let candidates = self
             .views
             .values()
@@ -745,7 +747,11 @@
         let key = |view: &View| {
             let far = hand_kind(view, cell) == Kind::Far;
             let handicap = if far { FAR_HANDICAP * (request.ask.prompt + view.tokens()) } else { 0.0 };
-            let late = self.hand_time(view, cell, request.ask.prompt, now) > left;
+            // What waits at this writer, or for the cell's link, bounds the time from below: guards
+            // against jammed links and writers alike.
+            let jam = if far { jam } else { 0.0 };
+            let time = self.predict(view, hand_kind(view, cell), request.ask.prompt);
+            let late = time.max(view.oldest(now)).max(jam) > left;
             let poor = u32::from(!self.well(view, now))
                 + u32::from(view.strikes > 0)
                 + u32::from(request.avoid.contains(&view.entry.server));
@@ -811,8 +817,8 @@
         }
         let Some(request) = self.requests.get(&id) else { return false };
         let x = match kind {
-            Kind::Read | Kind::Whole => (request.ask.prompt - view.kept(&request.ask)).max(0.0),
-            Kind::Near | Kind::Far | Kind::Stream => request.ask.prompt,
+            Kind::Read | Kind::Whole => view.unread(&request.ask),
+            Kind::Near | Kind::Far => request.ask.prompt,
         };
         let time = self.predict_now(view, kind, x, now);
         let start = match kind {
@@ -842,9 +848,6 @@
             tokens: request.ask.prompt + if kind == Kind::Read { 0.0 } else { answer },
             aim: request.aim,
             first: None,
-            hinted: if request.ask.hint > 0 { answer } else { 0.0 },
-            share: 0.0,
-            tpot,
             charged: 0.0,
         };
         let Some(request) = self.requests.get_mut(&id) else { return false };
