Writers by reported tokens, ties at random; cold servers by a chance for each attempt

Cause 1: with few answers a front, all writers of a cell tied at no own tokens and every front took the first id; own tokens times the number of fronts made any writer in use look full. Now two near writers, drawn at random, are probed while the read runs, unknown ones count our own mean for the other fronts, ties go at random. Could harm: where probes are dear or reports wrong. A cold server is now open to an attempt by a draw that gives all fronts together its part of what warm servers of its size answer, so the number of fronts does not matter. Also holds: restarts of many servers at once. Could harm: a slow start where few servers are left. Our reads charged to streams are dropped: the spacing of rule 3 waits longer than they asked.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -2,7 +2,7 @@
 //!
 //! Reading order: tunables, views of servers, the monitor, the dispatcher, the writer pick, the guards.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
 
@@ -33,20 +33,21 @@
 const LET_GO: f64 = 0.6;
 /// Share of the cold budget that is used: the rest is room for uneven splits among fronts.
 const COLD_USE: f64 = 0.6;
-/// Share of the most that a warm server has taken from us that counts as what its like can take.
-const PEAK_USE: f64 = 0.5;
+const COLD_DRAWS: u64 = 1 << 20;
 /// A report older than this many TTFT aims is no evidence.
 const REPORT_LIFE: f64 = 2.0;
 /// A state that leaves its cell counts as this many times its tokens at the far writer.
 const FAR_HANDICAP: f64 = 3.0;
-/// Places in a server's memory of kept texts; the oldest half goes when it is full.
+/// Places in a server's memory of kept texts; it starts anew when it is full.
 const KEPT_MOST: usize = 2000;
 /// Held requests that fit nowhere before the rest is left for the next event.
 const MISSES: u32 = 8;
 /// Read times within the TTFT aim over this are a tie.
 const TIE: f64 = 20.0;
-/// A writer in use is asked for its load once in this many TTFT aims.
-const PROBE_EVERY: f64 = 1.0;
+/// Writers of a reader's cell that are asked for their load while it reads, drawn at random, unless they
+/// told within this share of the TTFT aim.
+const PROBES: usize = 2;
+const PROBE_EVERY: f64 = 0.25;
 /// Reported waiting work that makes a writer full: a share of its KV tokens, or requests.
 const QUEUED: f64 = 0.04;
 const QUEUED_REQUESTS: f64 = 2.0;
@@ -69,34 +70,27 @@
     Far = 3,
 }
 
-/// A line fitted to answers, older ones fading: microseconds over tokens.
+/// A line fitted to answers, older ones fading: microseconds over tokens, as sums of 1, x, y, xx, xy.
 #[derive(Clone, Copy, Default)]
-struct Line {
-    n: f64,
-    x: f64,
-    y: f64,
-    xx: f64,
-    xy: f64,
-}
+struct Line([f64; 5]);
 
 impl Line {
-    fn learn(&mut self, weight: f64, x: f64, y: f64) {
-        let sums = [&mut self.n, &mut self.x, &mut self.y, &mut self.xx, &mut self.xy];
-        for (sum, new) in sums.into_iter().zip([1.0, x, y, x * x, x * y]) {
-            *sum = *sum * FIT_KEEP + weight * new;
+    fn learn(&mut self, x: f64, y: f64) {
+        for (sum, new) in self.0.iter_mut().zip([1.0, x, y, x * x, x * y]) {
+            *sum = *sum * FIT_KEEP + new;
         }
     }
 
     /// Falls back on the mean where the answers do not span a line that rises.
     fn at(&self, x: f64) -> f64 {
-        if self.n <= 0.0 {
+        let [n, sx, sy, xx, xy] = self.0;
+        if n <= 0.0 {
             return 0.0;
         }
-        let (mx, my) = (self.x / self.n, self.y / self.n);
-        let spread = self.xx / self.n - mx * mx;
-        let slope = if spread > 1.0 { (self.xy / self.n - mx * my) / spread } else { 0.0 };
-        let slope = slope.clamp(0.0, if mx > 0.0 { my / mx } else { 0.0 });
-        my + slope * (x - mx)
+        let (mx, my) = (sx / n, sy / n);
+        let spread = xx / n - mx * mx;
+        let slope = if spread > 1.0 { (xy / n - mx * my) / spread } else { 0.0 };
+        my + slope.clamp(0.0, if mx > 0.0 { my / mx } else { 0.0 }) * (x - mx)
     }
 }
 
@@ -114,8 +108,6 @@
     tokens: f64,
     aim: f64,
     first: Option<Time>,
-    /// Read time of ours that has stalled this stream.
-    charged: f64,
 }
 
 struct View {
@@ -134,7 +126,6 @@
     absorbed: Time,
     strikes: u32,
     suspended: Time,
-    sends: VecDeque<Time>,
 }
 
 impl View {
@@ -174,10 +165,8 @@
     }
 
     fn kept(&self, ask: &Arrival) -> f64 {
-        let of = |key: &Option<TextKey>, most: f64| {
-            key.as_ref().and_then(|key| self.kept.get(key)).map_or(0.0, |(tokens, _)| tokens.min(most))
-        };
-        of(&ask.session, ask.prompt).max(of(&ask.prefix, ask.shared))
+        let of = |key: &Option<TextKey>, most: f64| Some(self.kept.get(key.as_ref()?)?.0.min(most));
+        of(&ask.session, ask.prompt).unwrap_or(0.0).max(of(&ask.prefix, ask.shared).unwrap_or(0.0))
     }
 
     fn remember(&mut self, ask: &Arrival, found: f64, now: Time) {
@@ -191,10 +180,7 @@
             self.kept.retain(|key, (_, at)| *at == now || Some(key) == ask.session.as_ref());
         }
         if self.kept.len() > KEPT_MOST {
-            let mut times: Vec<Time> = self.kept.values().map(|(_, at)| *at).collect();
-            times.sort_unstable();
-            let middle = times[times.len() / 2];
-            self.kept.retain(|_, (_, at)| *at > middle);
+            self.kept.retain(|_, (_, at)| *at == now);
         }
     }
 }
@@ -247,9 +233,12 @@
     requests: BTreeMap<ReqId, Request>,
     held: BTreeSet<ReqId>,
     fits: [Line; 4],
-    /// By role: the most sends that a warm server has taken from us within the cold window.
-    peak: [f64; 3],
+    /// By role: the most weight of warm servers seen at once; our sends and their answers, older ones fading.
+    warm: [f64; 3],
+    flow: [(f64, f64); 3],
     quota: Vec<(f64, Time)>,
+    /// Share of all writers' KV memory that our own work holds.
+    own_share: f64,
     armed: bool,
     asked: Option<Time>,
 }
@@ -265,8 +254,10 @@
             requests: BTreeMap::new(),
             held: BTreeSet::new(),
             fits: [Line::default(); 4],
-            peak: [0.0; 3],
+            warm: [0.0; 3],
+            flow: [(0.0, 0.0); 3],
             quota,
+            own_share: 0.0,
             armed: false,
             asked: None,
         }
@@ -288,6 +279,7 @@
             }
             Event::Timer { .. } | Event::Place { .. } => {}
         }
+        self.totals(now);
         self.dispatch_held(now, new, out);
         if let Some(id) = new.filter(|id| self.held.contains(id) && self.closing(now, *id)) {
             self.finish(now, id, out);
@@ -302,6 +294,11 @@
         (self.seed >> 11) as f64 / (1u64 << 53) as f64
     }
 
+    /// A text to hash with, for a choice at random.
+    fn salt(&mut self) -> String {
+        self.random().to_string()
+    }
+
     fn arm(&mut self, out: &mut Vec<Action>) {
         if !self.armed && (!self.requests.is_empty() || self.asked.is_some()) {
             self.armed = true;
@@ -357,7 +354,6 @@
                 absorbed: 0,
                 strikes: 0,
                 suspended: 0,
-                sends: VecDeque::new(),
             });
             if entry.ready_at != view.entry.ready_at {
                 // A new process: what was known of the old one is void.
@@ -369,6 +365,23 @@
         self.views.retain(|_, view| view.entry.listed != Listed::Gone || !view.jobs.is_empty());
     }
 
+    /// What is common to all choices of one event.
+    fn totals(&mut self, now: Time) {
+        let (mut held, mut kv, mut warm) = (0.0, 1.0, [0.0; 3]);
+        for view in self.views.values().filter(|v| v.entry.listed == Listed::Running) {
+            if view.role != Role::Prefill {
+                (held, kv) = (held + view.tokens(), kv + view.kv);
+            }
+            if !self.cold(view, now) {
+                warm[view.role as usize] += view.entry.weight;
+            }
+        }
+        self.own_share = held / kv;
+        for (most, warm) in self.warm.iter_mut().zip(warm) {
+            *most = most.max(warm);
+        }
+    }
+
     fn report(&mut self, now: Time, server: &ServerId, load: Option<Vec<f64>>) {
         let (Some(load), Some(view)) = (load, self.views.get_mut(server)) else { return };
         // A writer with a queue is full, whatever bounds it: slots are told nowhere else.
@@ -411,13 +424,13 @@
     }
 
     /// An answer moves its server's pace against the common line, then the line by what is left.
-    fn learn(&mut self, server: &ServerId, kind: Kind, weight: f64, x: f64, y: f64) {
+    fn learn(&mut self, server: &ServerId, kind: Kind, x: f64, y: f64) {
         let (fit, Some(view)) = (&mut self.fits[kind as usize], self.views.get_mut(server)) else { return };
         let (common, pace) = (fit.at(x), &mut view.pace[kind as usize]);
         if common > 0.0 {
             *pace += PACE_STEP * ((y / common).clamp(0.05, 20.0) - *pace);
         }
-        fit.learn(weight, x, y / pace.max(0.05));
+        fit.learn(x, y / pace.max(0.05));
     }
 
     fn strike(&mut self, server: &ServerId, now: Time) {
@@ -431,30 +444,33 @@
 
     /// Running, not suspected, or a suspect whose time for one trial has come.
     fn well(&self, view: &View, now: Time) -> bool {
-        if view.entry.listed != Listed::Running || !self.cold_room(view, now) {
+        if view.entry.listed != Listed::Running {
             return false;
         }
         let trial = view.strikes == 0 || (now >= view.suspended && view.waiting().next().is_none());
         trial && !view.overdue(now)
     }
 
-    /// Share of a writer's KV memory that is held: as reported, plus ours since; else from our own.
-    fn memory(&self, view: &View, now: Time) -> f64 {
-        let kv = if view.kv > 0.0 { view.kv } else { return 0.0 };
-        let life = REPORT_LIFE * self.least_aim();
+    /// Tokens that a writer holds: as reported, plus ours since. Without a fresh report our own there, and
+    /// for the other fronts as much as ours are on the mean, since they choose by themselves.
+    fn held_tokens(&self, view: &View, now: Time) -> f64 {
         match view.report {
-            Some((share, at)) if (now - at) as f64 <= life => {
-                // The other fronts send as much as we do.
-                let since: f64 = view.jobs.values().filter(|j| j.sent > at).map(|j| j.tokens).sum();
-                share + since * f64::from(self.set.fronts) / kv
+            Some((share, at)) if (now - at) as f64 <= REPORT_LIFE * self.least_aim() => {
+                let since = view.jobs.values().filter(|job| job.sent > at).map(|job| job.tokens);
+                share * view.kv + since.sum::<f64>()
             }
-            _ => view.tokens() * f64::from(self.set.fronts) / kv,
+            _ => view.tokens() + f64::from(self.set.fronts - 1) * self.own_share * view.kv,
         }
     }
 
+    /// Share of a writer's KV memory that is held.
+    fn memory(&self, view: &View, now: Time) -> f64 {
+        if view.kv > 0.0 { self.held_tokens(view, now) / view.kv } else { 0.0 }
+    }
+
     fn slack(view: &View, now: Time) -> f64 {
         let slack = view.jobs.values().filter(|job| job.kind != Kind::Read).map(|job| match job.first {
-            Some(first) => (now - first) as f64 * (1.0 / NOMINAL - 1.0) - job.charged,
+            Some(first) => (now - first) as f64 * (1.0 / NOMINAL - 1.0),
             None if job.kind == Kind::Whole => 0.0,
             None => job.aim,
         });
@@ -507,13 +523,9 @@
         job.first = Some(now);
         let job = job.clone();
         if job.kind == Kind::Whole {
-            let spent = now - job.start;
-            for other in view.jobs.values_mut().filter(|other| other.first.is_some_and(|f| f < now)) {
-                other.charged += spent as f64;
-            }
             view.remember(&request.ask, job.tokens, now);
         }
-        self.learn(server, job.kind, 1.0, job.x, (now - job.start) as f64);
+        self.learn(server, job.kind, job.x, (now - job.start) as f64);
     }
 
     fn ended(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
@@ -523,6 +535,10 @@
         let job = self.views.get_mut(server).and_then(|view| view.jobs.remove(&id));
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.out = None;
+        let answered = matches!(outcome, Outcome::Read | Outcome::Served);
+        if let Some(view) = self.views.get(server).filter(|_| answered) {
+            self.flow[view.role as usize].1 += 1.0;
+        }
         if let Some((_, since)) = &mut request.state {
             *since = now;
         }
@@ -536,7 +552,7 @@
                     (view.strikes, view.suspended) = (0, 0);
                     view.remember(&request.ask, note as f64, now);
                     let x = (request.ask.prompt - note as f64).max(0.0);
-                    self.learn(server, Kind::Read, 1.0, x, (now - start.min(now)) as f64);
+                    self.learn(server, Kind::Read, x, (now - start.min(now)) as f64);
                 }
             }
             Outcome::Served | Outcome::NotSent | Outcome::Cancelled => {}
@@ -578,14 +594,10 @@
         if request.pinned {
             out.push(Action::Release { id });
         }
-        match &request.out {
-            Some((_, attempt)) if self.set.may_cancel => {
-                out.push(Action::Cancel { id, attempt: *attempt });
-            }
-            Some(_) => {}
-            None => {
-                self.requests.remove(&id);
-            }
+        if request.out.is_none() {
+            self.requests.remove(&id);
+        } else if let (Some((_, attempt)), true) = (&request.out, self.set.may_cancel) {
+            out.push(Action::Cancel { id, attempt: *attempt });
         }
     }
 
@@ -594,17 +606,6 @@
             self.asked = Some(now + self.set.ask_within / 4);
             out.push(Action::Subscribe);
         }
-        // Reports that do not come with answers are asked for, of servers that we have work at.
-        if self.set.may_probe && !self.set.reports_in_answers && !self.set.report_fields.is_empty() {
-            let spacing = (PROBE_EVERY * self.least_aim()) as Time;
-            for view in self.views.values_mut() {
-                let due = view.role != Role::Prefill && now >= view.probed + spacing;
-                if due && view.entry.listed == Listed::Running && !view.jobs.is_empty() {
-                    view.probed = now;
-                    out.push(Action::Probe { server: view.entry.server.clone() });
-                }
-            }
-        }
         let keep = (LET_GO * self.set.let_go_by as f64) as Time;
         let stuck: Vec<ReqId> = self.held.iter().copied().collect();
         for id in stuck {
@@ -654,7 +655,7 @@
 
     /// Rules 1, 2 and 3 in this order; `None` holds the request.
     fn place(&mut self, now: Time, id: ReqId) -> Option<(ServerId, Kind)> {
-        let salt = (self.random() * 2f64.powi(53)) as u64;
+        let salt = self.salt();
         let request = self.requests.get(&id)?;
         let (ask, left) = (&request.ask, request.left(now));
         let usable = |view: &&View| {
@@ -670,10 +671,7 @@
             // Near times are a tie, which goes by a hash of session and server: all fronts then find a
             // session's kept text at the same reader without a word between them.
             let rank = |(time, view): &(f64, &View)| {
-                let home = match &ask.session {
-                    Some(key) => hash(&key.0, &view.entry.server.0),
-                    None => hash(&view.entry.server.0, "") ^ salt,
-                };
+                let home = hash(&view.entry.server.0, ask.session.as_ref().map_or(&salt, |key| &key.0));
                 ((time * TIE / request.aim.max(1.0)).round() as u64, home)
             };
             times.into_iter().min_by_key(rank).map(|(_, view)| (view.entry.server.clone(), kind))
@@ -733,20 +731,36 @@
 
     // ---- The writer pick ----
 
-    /// Sends a read request on to the writer with the fewest own tokens running.
+    /// Asks a few writers of the reader's cell for their load, to be known when the read returns.
+    fn ask_writers(&mut self, now: Time, cell: u32, out: &mut Vec<Action>) {
+        if !self.set.may_probe || self.set.report_fields.is_empty() {
+            return;
+        }
+        let (salt, spacing) = (self.salt(), (PROBE_EVERY * self.least_aim()) as Time);
+        let near = self.views.values_mut().filter(|v| v.role != Role::Prefill && v.entry.cell == cell);
+        let mut near: Vec<&mut View> = near.filter(|v| v.entry.listed == Listed::Running).collect();
+        near.sort_by_key(|v| hash(&v.entry.server.0, &salt));
+        for view in near.into_iter().take(PROBES).filter(|v| now >= v.probed + spacing) {
+            view.probed = now;
+            out.push(Action::Probe { server: view.entry.server.clone() });
+        }
+    }
+
+    /// Sends a read request on to the writer with the fewest tokens running; ties go at random, so that
+    /// fronts that know as little as each other do not all take the same one.
     fn hand_over(&mut self, now: Time, id: ReqId, out: &mut Vec<Action>) -> bool {
+        let salt = self.salt();
         let Some(request) = self.requests.get(&id) else { return false };
         let Some((reader, _)) = &request.state else { return false };
         let left = request.aim - (now - request.arrived) as f64;
         let cell = self.views.get(reader).map(|view| view.entry.cell);
         let jam = cell.and_then(|cell| self.links(now).get(&cell).copied()).unwrap_or(0.0);
-        let candidates = self
-            .views
-            .values()
-            .filter(|v| v.role != Role::Prefill && self.may_send(now, id, Some(v)) && self.cold_room(v, now));
+        let candidates =
+            self.views.values().filter(|v| v.role != Role::Prefill && self.may_send(now, id, Some(v)));
         let key = |view: &View| {
             let far = hand_kind(view, cell) == Kind::Far;
-            let handicap = if far { FAR_HANDICAP * (request.ask.prompt + view.tokens()) } else { 0.0 };
+            let tokens = self.held_tokens(view, now);
+            let handicap = if far { FAR_HANDICAP * (request.ask.prompt + tokens) } else { 0.0 };
             // What waits at this writer, or for the cell's link, bounds the time from below: guards
             // against jammed links and writers alike.
             let jam = if far { jam } else { 0.0 };
@@ -755,12 +769,11 @@
             let poor = u32::from(!self.well(view, now))
                 + u32::from(view.strikes > 0)
                 + u32::from(request.avoid.contains(&view.entry.server));
-            (poor, u32::from(self.memory(view, now) >= MARK) + u32::from(late), view.tokens() + handicap)
+            let full = u32::from(self.memory(view, now) >= MARK) + u32::from(late);
+            (poor, full, (tokens + handicap) as u64, hash(&view.entry.server.0, &salt))
         };
-        let best = candidates
-            .map(|v| (key(v), v))
-            .min_by(|(a, _), (b, _)| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
-        let Some((server, kind)) = best.map(|(_, v)| (v.entry.server.clone(), hand_kind(v, cell))) else {
+        let best = candidates.min_by_key(|v| key(v));
+        let Some((server, kind)) = best.map(|v| (v.entry.server.clone(), hand_kind(v, cell))) else {
             return false;
         };
         self.send(now, id, &server, kind, out)
@@ -776,7 +789,7 @@
             && request.out.is_none()
             && request.tries < self.set.most_tries
             && now < request.deadline
-            && to.is_none_or(|view| view.entry.listed == Listed::Running);
+            && to.is_none_or(|v| v.entry.listed == Listed::Running && self.cold_turn(v, request, now));
         let effect = match (&request.ran, self.set.classes.get(request.ask.class).map(|c| c.repeat)) {
             (None, _) | (_, Some(Repeat::Safe)) => true,
             (Some((first, sent)), Some(Repeat::Keyed { group, memory })) => {
@@ -795,24 +808,26 @@
         open && effect
     }
 
-    /// Guards a server that has just started: our part of what it can take in any window.
-    fn cold_room(&self, view: &View, now: Time) -> bool {
-        let cold = |v: &View| v.entry.ready_at > 0 && now < v.entry.ready_at + self.set.cold_for;
-        if !cold(view) {
+    fn cold(&self, view: &View, now: Time) -> bool {
+        view.entry.ready_at > 0 && now < view.entry.ready_at + self.set.cold_for
+    }
+
+    /// Guards a server that has just started: each attempt may go there by a chance, so that any number of
+    /// fronts together send it a part of what a warm server of its size answers, and none waits for a turn.
+    fn cold_turn(&self, view: &View, request: &Request, now: Time) -> bool {
+        if !self.cold(view, now) {
             return true;
         }
-        let from = now.saturating_sub(self.set.tip_after);
-        let count = |v: &View| v.sends.iter().filter(|at| **at >= from).count() as f64;
-        let warm: Vec<f64> =
-            self.views.values().filter(|v| v.role == view.role && !cold(v)).map(count).collect();
-        let mean = warm.iter().sum::<f64>() / (warm.len() as f64).max(1.0);
-        let able = mean.max(PEAK_USE * self.peak[view.role as usize]);
-        count(view) + 1.0 <= (COLD_USE * self.set.fall_multiple * self.set.cold_from * able).max(1.0)
+        let (sent, answered) = self.flow[view.role as usize];
+        let even = view.entry.weight / self.warm[view.role as usize].max(view.entry.weight);
+        let able = self.set.fall_multiple * self.set.cold_from * (answered + 1.0) / (sent + 1.0);
+        let draw = hash(&view.entry.server.0, &format!("{} {}", request.ask.id.0, request.tries));
+        (draw % COLD_DRAWS) as f64 <= COLD_USE * able * even * COLD_DRAWS as f64
     }
 
     fn send(&mut self, now: Time, id: ReqId, server: &ServerId, kind: Kind, out: &mut Vec<Action>) -> bool {
         let Some(view) = self.views.get(server) else { return false };
-        if !self.may_send(now, id, Some(view)) || !self.cold_room(view, now) {
+        if !self.may_send(now, id, Some(view)) {
             return false;
         }
         let Some(request) = self.requests.get(&id) else { return false };
@@ -848,7 +863,6 @@
             tokens: request.ask.prompt + if kind == Kind::Read { 0.0 } else { answer },
             aim: request.aim,
             first: None,
-            charged: 0.0,
         };
         let Some(request) = self.requests.get_mut(&id) else { return false };
         request.out = Some((server.clone(), request.tries));
@@ -862,16 +876,13 @@
                 view.absorbed = now + (time * f64::from(self.set.fronts) / (1.0 - NOMINAL)) as Time;
             }
             view.jobs.insert(id, job);
-            view.sends.push_back(now);
-            while view.sends.front().is_some_and(|at| at + self.set.tip_after < now) {
-                view.sends.pop_front();
-            }
-            if view.entry.ready_at == 0 || now >= view.entry.ready_at + self.set.cold_for {
-                let peak = &mut self.peak[view.role as usize];
-                *peak = peak.max(view.sends.len() as f64);
-            }
+            let (sent, answered) = &mut self.flow[view.role as usize];
+            (*sent, *answered) = (*sent * FIT_KEEP + 1.0, *answered * FIT_KEEP);
         }
         out.push(Action::Send { id, server: server.clone(), timeout });
+        if let (Kind::Read, Some(cell)) = (kind, self.views.get(server).map(|view| view.entry.cell)) {
+            self.ask_writers(now, cell, out);
+        }
         true
     }
 
