--- a/src/brain.rs
+++ b/src/brain.rs
@@ -214,10 +214,10 @@
 }
 
 impl Request {
-    /// Time left within the aim, after it to the deadline.
+    /// Time left within the aim, after it to the deadline; clients may come with less than the aim.
     fn left(&self, now: Time) -> f64 {
-        let age = (now - self.arrived) as f64;
-        if age < self.aim { self.aim - age } else { self.deadline.saturating_sub(now) as f64 }
+        let (age, all) = ((now - self.arrived) as f64, self.deadline.saturating_sub(now) as f64);
+        if age < self.aim { all.min(self.aim - age) } else { all }
     }
 }
 
@@ -705,7 +705,7 @@
             let home = hash(&view.entry.server.0, ask.session.as_ref().map_or(&salt, |key| &key.0));
             let cell = &view.entry.cell;
             let part = near.get(cell).zip(self.readers.get(cell)).map_or(0.0, |(room, all)| room / all);
-            let home = (-unit(home).ln() / part.max(LEAST_PART) / view.entry.weight).to_bits();
+            let home = (-unit(home).ln() / part.sqrt().max(LEAST_PART) / view.entry.weight).to_bits();
             let hand = if part > 0.0 { Kind::Near } else { Kind::Far };
             let time = read(view, Kind::Read) + self.fits[hand as usize].at(ask.prompt);
             (wary(view), (time * TIE / request.aim.max(1.0)).round() as u64, home)
