--- a/tests/module.rs
+++ b/tests/module.rs
@@ -586,11 +586,13 @@
         }
         bench.now += 20_000 * MS;
     }
-    // The near writer is nearly full: without the jam the empty far ones would be taken.
-    bench.list(ListMode::Changes, vec![entry("w1", Listed::Running, 0)]);
-    bench.arrive(50, 88_000.0);
+    // The near writer holds much: without the jam the empty far one, which failed nothing, would be taken.
+    let more = ["w1", "w3"].map(|name| entry(name, Listed::Running, 0));
+    bench.list(ListMode::Changes, vec![more[0].clone()]);
+    bench.arrive(50, 80_000.0);
     assert_eq!(sent_to(&bench.end(50, 0, "r1", Outcome::Read, 0)).as_deref(), Some("w1"));
     bench.first(50, 1, "w1");
+    bench.list(ListMode::Changes, vec![more[1].clone()]);
     bench.arrive(51, 1_000.0);
     assert_eq!(sent_to(&bench.end(51, 0, "r1", Outcome::Read, 0)).as_deref(), Some("w1"));
 }
