--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,7 +54,7 @@
 const FRESH: f64 = 0.25;
 const PROBE_WAIT: f64 = 0.05;
 /// A reader with more reported work than this many mean reads has some that waits.
-const RUNNING: f64 = 4.0;
+const RUNNING: f64 = 8.0;
 /// Until a writer's read has been seen, it is held to take this many times a reader's.
 const WRITER_READS: f64 = 3.0;
 /// Reported waiting work that makes a writer full, as a share of its KV tokens.
