--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,6 +59,7 @@
 const WRITER_READS: f64 = 3.0;
 /// Reported waiting work that makes a writer full, as a share of its KV tokens.
 const QUEUED: f64 = 0.03;
+/// Tokens below which a shorter read gains nothing.
 const LEAST_READ: f64 = 100.0;
 /// Advice to come back is drawn from this share of the longest that clients follow, up to all of it.
 const ADVICE: f64 = 0.5;
@@ -70,6 +71,7 @@
 /// What an attempt is for; also numbers the fits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
+    /// A read at a reader.
     Read = 0,
     /// A read and answer at a writer or mixed server (rule 3).
     Whole = 1,
@@ -102,10 +104,12 @@
     }
 }
 
+/// What a rule comes to.
 enum Step {
     Take(ServerId),
     /// A server is asked, or its answer is due.
     Ask(Option<ServerId>),
+    /// The rule is not met.
     Next,
 }
 
@@ -124,8 +128,8 @@
 struct Job {
     kind: Kind,
     sent: Time,
+    /// When it should end.
     due: Time,
-    patience: Time,
     x: f64,
     unread: f64,
     tokens: f64,
@@ -356,6 +360,7 @@
         self.views.retain(|_, view| view.entry.listed != Listed::Gone || !view.jobs.is_empty());
     }
 
+    /// What is common to all choices of one event.
     fn totals(&mut self, now: Time) {
         let (mut held, mut kv, mut warm, mut readers) = (0.0, 1.0, [0.0; 3], BTreeMap::new());
         for view in self.views.values().filter(|v| v.entry.listed == Listed::Running) {
@@ -585,11 +590,7 @@
                 out.push(Action::Release { id });
             }
             _ => {
-                // A client's short time says nothing of a server: only a time-out of ours does.
-                let ours = |job: &Job| now + self.set.tick >= job.sent + job.patience;
-                if outcome != Outcome::TimedOut || job.as_ref().is_none_or(ours) {
-                    self.strike(server, class, now);
-                }
+                self.strike(server, class, now);
                 // A far fetch that ran out of time tells of its link: guards against links that all jam.
                 if let Some(job) = job.as_ref().filter(|job| job.kind == Kind::Far) {
                     self.learn(server, Kind::Far, job.x, (now - job.sent) as f64);
@@ -866,7 +867,6 @@
             kind,
             sent: now,
             due: now + time as Time,
-            patience: patience as Time,
             x,
             unread,
             tokens: request.ask.prompt + if kind == Kind::Read { 0.0 } else { answer },
