--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,6 +37,10 @@
 const COLD_USE: f64 = 0.6;
 /// Readers of a cell with hardly any writers still get this part of the others' reads.
 const LEAST_PART: f64 = 0.1;
+/// Our sends since a report stand for at most so many fronts that saw the same one.
+const HERD: u32 = 4;
+/// With so few fronts our own sends tell more of a reader than its report, which lags.
+const FEW_FRONTS: u32 = 8;
 /// A report older than this many TTFT aims is no evidence.
 const REPORT_LIFE: f64 = 2.0;
 /// A state that leaves its cell counts as this many times its tokens at the far writer.
@@ -63,7 +67,6 @@
 const LEAST_READ: f64 = 100.0;
 /// Advice to come back is drawn from this share of the longest that clients follow, up to all of it.
 const ADVICE: f64 = 0.5;
-/// The one timer's name.
 const SWEEP: u64 = 1;
 
 // ---- Views of servers ----
@@ -71,7 +74,6 @@
 /// What an attempt is for; also numbers the fits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
-    /// A read at a reader.
     Read = 0,
     /// A read and answer at a writer or mixed server (rule 3).
     Whole = 1,
@@ -104,12 +106,10 @@
     }
 }
 
-/// What a rule comes to.
 enum Step {
     Take(ServerId),
     /// A server is asked, or its answer is due.
     Ask(Option<ServerId>),
-    /// The rule is not met.
     Next,
 }
 
@@ -123,12 +123,12 @@
     answered: Time,
 }
 
-/// An attempt that is out at a server.
 #[derive(Clone)]
 struct Job {
     kind: Kind,
+    /// Cell of the state that it fetches.
+    from: Option<u32>,
     sent: Time,
-    /// When it should end.
     due: Time,
     x: f64,
     unread: f64,
@@ -188,14 +188,12 @@
     }
 }
 
-/// A request that this front has taken.
 #[derive(Default)]
 struct Request {
     ask: Arrival,
     arrived: Time,
     deadline: Time,
     aim: f64,
-    /// Beyond its tenant's share.
     over: bool,
     tries: u32,
     out: Option<(ServerId, u32)>,
@@ -226,7 +224,6 @@
     (h ^ (h >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 8
 }
 
-/// How a state of that cell gets to this writer.
 fn hand_kind(view: &View, from: Option<u32>) -> Kind {
     if from.is_none_or(|cell| cell == view.entry.cell) { Kind::Near } else { Kind::Far }
 }
@@ -247,7 +244,6 @@
     came: Time,
     /// Share of all writers' KV memory that our own work holds.
     own_share: f64,
-    /// By cell: weight of its readers.
     readers: BTreeMap<u32, f64>,
     /// Servers can be asked for their load.
     may_ask: bool,
@@ -260,7 +256,7 @@
     pub fn new(set: Settings, seed: u64) -> Router {
         Router {
             quota: vec![(0.0, 0); set.tenants.len()],
-            may_ask: set.may_probe && !set.report_fields.is_empty(),
+            may_ask: set.may_probe && !set.report_fields.is_empty() && set.fronts > FEW_FRONTS,
             set,
             seed: seed | 1,
             views: BTreeMap::new(),
@@ -331,7 +327,6 @@
     // ---- The monitor ----
 
     fn servers(&mut self, now: Time, mode: ListMode, entries: Vec<Entry>, out: &mut Vec<Action>) {
-        // The list must be asked for where it is not pushed; a call that failed is made again.
         if self.set.discovery == Discovery::Asked {
             match mode {
                 ListMode::Restored => out.push(Action::Subscribe),
@@ -352,7 +347,6 @@
             let kv = self.set.kv_tokens.get(entry.kind).copied().unwrap_or(0.0);
             let view = self.views.entry(entry.server.clone()).or_default();
             if entry.ready_at != view.entry.ready_at {
-                // A new process: what was known of the old one is void.
                 *view = View { jobs: std::mem::take(&mut view.jobs), ..View::default() };
             }
             (view.entry, view.role, view.kv) = (entry, role, kv);
@@ -360,7 +354,6 @@
         self.views.retain(|_, view| view.entry.listed != Listed::Gone || !view.jobs.is_empty());
     }
 
-    /// What is common to all choices of one event.
     fn totals(&mut self, now: Time) {
         let (mut held, mut kv, mut warm, mut readers) = (0.0, 1.0, [0.0; 3], BTreeMap::new());
         for view in self.views.values().filter(|v| v.entry.listed == Listed::Running) {
@@ -422,7 +415,10 @@
 
     /// Prompt tokens ahead of a new read: as reported, and ours, which a report lags behind.
     fn ahead(&self, view: &View, now: Time) -> f64 {
-        let reported = view.report.filter(|_| self.fresh(view, now)).map_or(0.0, |(_, waiting, _)| waiting);
+        let reported = view
+            .report
+            .filter(|_| self.may_ask && self.fresh(view, now))
+            .map_or(0.0, |(_, waiting, _)| waiting);
         reported + view.waiting().map(|job| job.unread).sum::<f64>()
     }
 
@@ -444,6 +440,12 @@
         Step::Next
     }
 
+    /// Age of the oldest state of ours that waits for a cell's link: guards against jammed links.
+    fn jam(&self, cell: Option<u32>, now: Time) -> f64 {
+        let far = self.views.values().flat_map(View::waiting).filter(|job| job.kind == Kind::Far);
+        far.filter(|job| job.from == cell).map(|job| (now - job.sent) as f64).fold(0.0, f64::max)
+    }
+
     /// An answer moves its server's pace against the common line, then the line by what is left.
     fn learn(&mut self, server: &ServerId, kind: Kind, x: f64, y: f64) {
         let (fit, Some(view)) = (&mut self.fits[kind as usize], self.views.get_mut(server)) else { return };
@@ -454,8 +456,7 @@
         fit.learn(x, y / (1.0 + *pace));
     }
 
-    /// Suspends a server for a class. Trials of suspects are kept to a part of our requests, however few
-    /// those are, so that all fronts together do not feed a server that answers nothing.
+    /// Suspends a server for a class, so long that all fronts together do not feed one that answers nothing.
     fn strike(&mut self, server: &ServerId, class: usize, now: Time) {
         let base = (SUSPEND * self.least_aim()).max(self.gap / TRIALS);
         if let Some(health) = self.views.get_mut(server).map(|view| view.health.entry(class).or_default()) {
@@ -500,13 +501,12 @@
         match view.report {
             Some((share, _, at)) if (now - at) as f64 <= REPORT_LIFE * self.least_aim() => {
                 let since = view.jobs.values().filter(|job| job.sent > at).map(|job| job.tokens);
-                share * view.kv + since.sum::<f64>()
+                share * view.kv + since.sum::<f64>() * f64::from(self.set.fronts.min(HERD))
             }
             _ => view.tokens() + f64::from(self.set.fronts - 1) * self.own_share * view.kv,
         }
     }
 
-    /// Share of a writer's KV memory that is held.
     fn memory(&self, view: &View, now: Time) -> f64 {
         if view.kv > 0.0 { self.held_tokens(view, now) / view.kv } else { 0.0 }
     }
@@ -646,8 +646,7 @@
         self.requests.iter().filter(|(_, request)| request.out.is_none()).map(|(id, _)| *id)
     }
 
-    /// Places what is held, the most worthy first. A request that has just come changes nothing for
-    /// the others. After some in a row that fit nowhere the rest wait for the next event.
+    /// Places what is held, the most worthy first; a request that has just come changes nothing for others.
     fn dispatch_held(&mut self, now: Time, only: Option<ReqId>, out: &mut Vec<Action>) {
         let mut queue: Vec<(bool, i64, Time, ReqId)> = Vec::new();
         for id in self.held().filter(|id| only.is_none_or(|only| only == *id)) {
@@ -705,8 +704,10 @@
             let cell = &view.entry.cell;
             let part = near.get(cell).zip(self.readers.get(cell)).map_or(0.0, |(room, all)| room / all);
             let home = (-unit(home).ln() / part.sqrt().max(LEAST_PART) / view.entry.weight).to_bits();
-            let hand = if part > 0.0 { Kind::Near } else { Kind::Far };
-            let time = read(view, Kind::Read) + self.fits[hand as usize].at(ask.prompt);
+            let hand = |kind: Kind| self.fits[kind as usize].at(ask.prompt);
+            let hand =
+                if part > 0.0 { hand(Kind::Near) } else { hand(Kind::Far).max(self.jam(Some(*cell), now)) };
+            let time = read(view, Kind::Read) + hand;
             (wary(view), (time * TIE / request.aim.max(1.0)).round() as u64, home)
         };
         readers.sort_by_cached_key(rank);
@@ -751,7 +752,7 @@
 
     /// Asks a few writers of the reader's cell for their load, to be known when the read returns.
     fn ask_writers(&mut self, now: Time, cell: u32, out: &mut Vec<Action>) {
-        if !self.may_ask {
+        if !self.set.may_probe || self.set.report_fields.is_empty() {
             return;
         }
         let (salt, spacing) = (self.random().to_string(), (FRESH * self.least_aim()) as Time);
@@ -764,15 +765,14 @@
         }
     }
 
-    /// Sends a read request on to the writer with the fewest tokens running; ties go at random, so that
-    /// fronts that know as little as each other do not all take the same one.
+    /// Sends a read request on to the writer with the fewest tokens running; ties go at random, against herds.
     fn hand_over(&mut self, now: Time, id: ReqId, out: &mut Vec<Action>) -> bool {
         let salt = self.random().to_string();
         let Some(request) = self.requests.get(&id) else { return false };
         let Some((reader, _)) = &request.state else { return false };
         let left = request.aim - (now - request.arrived) as f64;
         let cell = self.views.get(reader).map(|view| view.entry.cell);
-        let wary = self.wary(false, request.ask.class, now);
+        let (wary, jam) = (self.wary(false, request.ask.class, now), self.jam(cell, now));
         let candidates =
             self.views.values().filter(|v| v.role != Role::Prefill && self.may_send(now, id, Some(v)));
         let key = |view: &View| {
@@ -781,7 +781,7 @@
             let handicaps = FAR_HANDICAP * f64::from(u32::from(far) + u32::from(wary(view)));
             let handicap = handicaps * (request.ask.prompt + tokens);
             let time = self.predict(view, hand_kind(view, cell), request.ask.prompt, now);
-            let late = time.max(view.oldest(now)) > left;
+            let late = time.max(view.oldest(now)).max(if far { jam } else { 0.0 }) > left;
             let class = request.ask.class;
             let suspect = Self::suspect(view, class).is_some();
             let poor = u32::from(!Self::well(view, class, now)) + u32::from(suspect);
@@ -863,8 +863,10 @@
             (GIVE_UP * time).max(GIVE_UP_AIM * request.aim) * f64::from(1u32 << request.tries.min(4));
         let left = request.deadline - now;
         let timeout = if effect { left } else { left.min(patience as Time).max(1) };
+        let from = request.state.as_ref().and_then(|(at, _)| Some(self.views.get(at)?.entry.cell));
         let job = Job {
             kind,
+            from,
             sent: now,
             due: now + time as Time,
             x,
@@ -877,8 +879,7 @@
         request.tries += 1;
         if let Some(view) = self.views.get_mut(server) {
             if kind == Kind::Whole {
-                // Streams of other fronts stall too, and those fronts send such reads as well: the slack
-                // that an answer gains at its nominal pace pays for one front's reads in turn.
+                // All fronts send such reads: the slack gained at the nominal pace pays for one in turn.
                 view.absorbed = now + (time * f64::from(self.set.fronts) / (1.0 - NOMINAL)) as Time;
             }
             view.jobs.insert(id, job);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -705,3 +705,19 @@
     assert_ne!(first, second);
     assert_eq!(sent_to(&bench.pass(load(second.clone(), 0.0))), Some(second.0.to_string()));
 }
+
+#[test]
+fn a_state_that_waits_for_its_link_keeps_the_next_one_near() {
+    let mut bench = Bench::new(&["r1", "w2"]);
+    bench.arrive(1, 1_000.0);
+    assert_eq!(sent_to(&bench.end(1, 0, "r1", Outcome::Read, 0)).as_deref(), Some("w2"));
+    bench.list(ListMode::Changes, vec![entry("w1", Listed::Running, 0)]);
+    bench.arrive(2, 80_000.0);
+    assert_eq!(sent_to(&bench.end(2, 0, "r1", Outcome::Read, 0)).as_deref(), Some("w1"));
+    bench.first(2, 1, "w1");
+    bench.list(ListMode::Changes, vec![entry("w3", Listed::Running, 0)]);
+    // The first state has waited longer than the aim of the next one: w3, empty, is behind the same link.
+    bench.now += 1_500 * MS;
+    bench.arrive(3, 1_000.0);
+    assert_eq!(sent_to(&bench.end(3, 0, "r1", Outcome::Read, 0)).as_deref(), Some("w1"));
+}
