--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,7 +10,7 @@
 const FIT_KEEP: f64 = 0.9;
 /// A server's own pace, and one late attempt there, slow predictions by this factor at most.
 const PACE_MOST: f64 = 20.0;
-/// Weight of one answer in a server's own pace (a slowdown shows within a few), and of an arrival in their gap.
+/// Weight of one answer in a server's own pace (it shows within a few), and of an arrival in their gap.
 const PACE_STEP: f64 = 0.3;
 /// An attempt is given up after this many predicted times, at least after the share of the aim below.
 const GIVE_UP: f64 = 4.0;
@@ -765,7 +765,7 @@
         }
     }
 
-    /// Sends a read request on to the writer with the fewest tokens running; ties go at random, against herds.
+    /// Sends a read request on to the writer with the fewest tokens running; ties at random, against herds.
     fn hand_over(&mut self, now: Time, id: ReqId, out: &mut Vec<Action>) -> bool {
         let salt = self.random().to_string();
         let Some(request) = self.requests.get(&id) else { return false };
