--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,7 +14,7 @@
 const PACE_STEP: f64 = 0.3;
 /// An attempt is given up after this many predicted times, at least after the share of the aim below.
 const GIVE_UP: f64 = 4.0;
-const GIVE_UP_AIM: f64 = 1.0;
+const GIVE_UP_AIM: f64 = 0.5;
 /// Memory mark: no read is begun when all writers hold more; the rest is room for answers to grow.
 const MARK: f64 = 0.85;
 /// Memory mark of rule 3: a fuller writer's streams run too near their aim to wait for a read.
@@ -46,7 +46,7 @@
 /// A report older than this many TTFT aims is no evidence.
 const REPORT_LIFE: f64 = 2.0;
 /// A state that leaves its cell counts as this many times its tokens at the far writer.
-const FAR_HANDICAP: f64 = 10.0;
+const FAR_HANDICAP: f64 = 4.0;
 /// Places in a server's memory of kept texts; it starts anew when it is full.
 const KEPT_MOST: usize = 2000;
 /// Held requests that fit nowhere before the rest is left for the next event.
@@ -55,8 +55,9 @@
 const TIE: f64 = 20.0;
 /// Reports are held to be so old in what they tell, in shortest TTFT aims, however lately they came.
 const LAG: f64 = 1.0;
-/// A text shared by more than this share of a prompt settles its reader, so that few readers keep each.
+/// A text shared by more than this share of a prompt is kept at about so many readers, not at all of them.
 const SHARED: f64 = 0.5;
+const HOMES: f64 = 4.0;
 /// Reads by others since a report's content from which it is no evidence that a reader is idle.
 const CROWD: f64 = 1.0;
 /// Servers asked in turn for their load before a rule counts as not met; writers asked while a reader reads.
@@ -627,9 +628,11 @@
             }
             _ => {
                 self.strike(server, class, now);
-                // A far fetch that ran out of time tells of its link: guards against links that all jam.
-                if let Some(job) = job.as_ref().filter(|job| job.kind == Kind::Far) {
-                    self.learn(server, Kind::Far, job.x, (now - job.sent) as f64);
+                // What ran out of time took at least so long: guards against slow servers and jammed links
+                // that would look quick, since only answers taught, and against time-outs too short for all.
+                let timed = outcome == Outcome::TimedOut;
+                if let Some(job) = job.as_ref().filter(|job| timed || job.kind == Kind::Far) {
+                    self.learn(server, job.kind, job.x, (now - job.sent) as f64);
                 }
             }
         }
@@ -736,10 +739,12 @@
         // then find a session's kept text at the same reader. The writers of its cell that have room weigh
         // a reader's part, so that few states have to leave their cell.
         let wary = self.wary(true, ask.class, now);
-        let text = ask.prefix.as_ref().filter(|_| ask.shared > SHARED * ask.prompt).or(ask.session.as_ref());
+        let text = ask.prefix.as_ref().filter(|_| ask.shared > SHARED * ask.prompt);
+        let homes = HOMES / self.readers.values().sum::<f64>().max(1.0);
         let tie = (request.aim / TIE).max(if self.may_ask { LAG * self.least_aim() } else { 0.0 });
         let rank = |view: &&View| {
-            let home = hash(&view.entry.server.0, text.map_or(&salt, |key| &key.0));
+            let home = hash(&view.entry.server.0, ask.session.as_ref().map_or(&salt, |key| &key.0));
+            let away = text.is_some_and(|key| unit(hash(&view.entry.server.0, &key.0)) > homes);
             let cell = &view.entry.cell;
             let part = near.get(cell).zip(self.readers.get(cell)).map_or(0.0, |(room, all)| room / all);
             let home = (-unit(home).ln() / part.sqrt().max(LEAST_PART) / view.entry.weight).to_bits();
@@ -747,7 +752,7 @@
             let hand =
                 if part > 0.0 { hand(Kind::Near) } else { hand(Kind::Far).max(self.jam(Some(*cell), now)) };
             let time = read(view, Kind::Read) + hand;
-            (wary(view), (time / tie.max(1.0)).round() as u64, home)
+            (wary(view), (time / tie.max(1.0)).round() as u64, away, home)
         };
         readers.sort_by_cached_key(rank);
         // Rule 1: an idle reader. All fronts see the same old report: guards against herds at what it calls idle.
