Homes by shared text come before shorter times; texts kept in blocks are not forgotten

And a text found but for its last block (up to 127 tokens) made a front forget all that it knew of that reader. Expected: more kept.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,6 +58,8 @@
 /// A text shared by more than this share of a prompt is kept at about so many readers, not at all of them.
 const SHARED: f64 = 0.5;
 const HOMES: f64 = 4.0;
+/// Servers keep texts in blocks: a shared text of which less than this share was found is gone.
+const FOUND: f64 = 0.5;
 /// Reads by others since a report's content from which it is no evidence that a reader is idle.
 const CROWD: f64 = 1.0;
 /// Servers asked in turn for their load before a rule counts as not met; writers asked while a reader reads.
@@ -189,7 +191,7 @@
                 self.kept.insert(key.clone(), (tokens, now));
             }
         }
-        if found + 1.0 < ask.shared || self.kept.len() > KEPT_MOST {
+        if found < FOUND * ask.shared || self.kept.len() > KEPT_MOST {
             self.kept.retain(|_, (_, at)| *at == now);
         }
     }
@@ -752,7 +754,7 @@
             let hand =
                 if part > 0.0 { hand(Kind::Near) } else { hand(Kind::Far).max(self.jam(Some(*cell), now)) };
             let time = read(view, Kind::Read) + hand;
-            (wary(view), (time / tie.max(1.0)).round() as u64, away, home)
+            (wary(view), away, (time / tie.max(1.0)).round() as u64, home)
         };
         readers.sort_by_cached_key(rank);
         // Rule 1: an idle reader. All fronts see the same old report: guards against herds at what it calls idle.
