--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,6 +55,8 @@
 const TIE: f64 = 20.0;
 /// Reports are held to be so old in what they tell, in shortest TTFT aims, however lately they came.
 const LAG: f64 = 1.0;
+/// Share of the lag that a read's predicted end leaves free, for queues that grow unseen.
+const BLIND: f64 = 0.5;
 /// A text shared by more than this share of a prompt is kept at about so many readers, not at all of them.
 const SHARED: f64 = 0.5;
 const HOMES: f64 = 4.0;
@@ -762,12 +764,15 @@
         let idle = |v: &View| !crowd && v.jobs.is_empty() && self.ahead(v, now) < LEAST_READ;
         // Rule 2: a running reader with nothing waiting that will be on time. A predicted end that has
         // passed is no evidence of that.
+        // It must leave time for the hand-over, and for what other fronts sent since the report's content.
+        let hand = self.fits[Kind::Near as usize].at(ask.prompt);
+        let blind = if self.may_ask { BLIND * LAG * self.least_aim() } else { 0.0 };
         let on_time = |v: &View| {
             v.jobs.len() <= 1
                 && (!request.late(now) || self.ahead(v, now) < LEAST_READ)
                 && v.jobs.values().all(|job| job.due >= now)
                 && self.ahead(v, now) <= RUNNING * self.mean_read()
-                && read(v, Kind::Read) <= left
+                && read(v, Kind::Read) + hand + blind <= left
         };
         // Rule 3: a writer under its memory mark whose streams all have slack above this read.
         let absorbs = |v: &&View| {
