--- a/tests/module.rs
+++ b/tests/module.rs
@@ -721,3 +721,191 @@
     bench.arrive(3, 1_000.0);
     assert_eq!(sent_to(&bench.end(3, 0, "r1", Outcome::Read, 0)).as_deref(), Some("w1"));
 }
+
+// ---- What goes wrong only with many fronts ----
+
+/// One of many fronts at servers that report memory and waiting work when asked.
+fn one_of_many(me: u32, names: &[&str]) -> Bench {
+    let report_fields = vec![ReportField::MemoryShare, ReportField::PendingThousands];
+    let settings = Settings { me, fronts: 60, may_probe: true, report_fields, ..example_settings() };
+    let router = Router::new(settings, u64::from(me) * 977 + 3);
+    let mut bench = Bench { router, now: 1_000_000_000, out: Vec::new() };
+    bench.list(ListMode::Restored, names.iter().map(|n| entry(n, Listed::Running, 0)).collect());
+    bench
+}
+
+impl Bench {
+    /// A server's report of its memory share and of thousands of waiting tokens.
+    fn told(&mut self, at: &str, memory: f64, thousands: f64) -> Vec<Action> {
+        let load = Some(vec![memory, thousands]);
+        self.pass(Event::Probed { server: server(at), outcome: Outcome::Served, took: 0, load })
+    }
+
+    fn of_texts(&mut self, id: u32, session: String, prefix: Option<&str>, prompt: f64) -> Vec<Action> {
+        let key = |text: &str| Some(TextKey(text.into()));
+        let (session, prefix, shared) = (key(&session), prefix.and_then(key), 0.8 * prompt);
+        self.pass(Event::Arrived(Arrival { session, prefix, shared, ..arrival(id, prompt) }))
+    }
+}
+
+/// A front with nothing out knew unknown writers as empty, and sent states over the links to them.
+#[test]
+fn a_writer_that_has_not_reported_is_no_emptier_than_the_others() {
+    let mut bench = one_of_many(0, &["r1", "w1", "w2"]);
+    for _ in 0..20 {
+        bench.told("w1", 0.4, 0.0);
+    }
+    bench.told("r1", 0.0, 0.0);
+    assert_eq!(sent_to(&bench.arrive(1, 1_000.0)).as_deref(), Some("r1"));
+    assert_eq!(sent_to(&bench.end(1, 0, "r1", Outcome::Read, 0)).as_deref(), Some("w1"));
+}
+
+/// All fronts hear the same old report: the one reader that it calls idle must not draw them all.
+#[test]
+fn sixty_fronts_do_not_all_go_for_the_reader_that_is_called_idle() {
+    let names = ["r1a", "r1b", "r1c", "w1"];
+    let mut taken = std::collections::BTreeMap::new();
+    for me in 0..60 {
+        let mut bench = one_of_many(me, &names);
+        for id in 0..3 {
+            names.iter().for_each(|name| drop(bench.told(name, 0.1, 0.0)));
+            let reader = sent_to(&bench.arrive(id, 1_000.0 * f64::from(id + 1))).unwrap();
+            bench.now += 100 * MS * Time::from(id + 1);
+            let writer = sent_to(&bench.end(id, 0, &reader, Outcome::Read, 0)).unwrap();
+            bench.first(id, 1, &writer);
+            bench.end(id, 1, &writer, Outcome::Served, 0);
+            bench.now += 400 * MS;
+        }
+        for (name, thousands) in [("r1a", 0.0), ("r1b", 3.0), ("r1c", 3.0), ("w1", 0.0)] {
+            bench.told(name, 0.1, thousands);
+        }
+        let reader = sent_to(&bench.of_texts(9, format!("s{me}"), None, 1_000.0)).unwrap();
+        *taken.entry(reader).or_insert(0) += 1;
+    }
+    assert!(taken.len() == 3 && taken.values().all(|n| *n <= 35), "{taken:?}");
+}
+
+/// Each reader kept each text: where memory is short for that, none is found again.
+#[test]
+fn a_shared_text_is_kept_at_a_few_of_many_readers_and_other_sessions_use_all() {
+    let mut names: Vec<String> = (0..24).map(|n| format!("r1{n}")).collect();
+    names.push("w1".to_string());
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let readers = |prefix: Option<&str>| {
+        let of = |n: u32| {
+            let mut bench = one_of_many(n, &names);
+            names.iter().for_each(|name| drop(bench.told(name, 0.1, 0.0)));
+            sent_to(&bench.of_texts(1, format!("s{n}"), prefix, 1_000.0)).unwrap()
+        };
+        (0..60).map(of).collect::<std::collections::BTreeSet<_>>().len()
+    };
+    let (shared, own) = (readers(Some("shared")), readers(None));
+    assert!((2..=10).contains(&shared) && own >= 16, "shared {shared} own {own}");
+}
+
+/// A text of which all but the last block was found is still there, and so are the others.
+#[test]
+fn a_text_found_but_for_its_last_block_is_not_forgotten() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    bench.of_texts(1, "known".into(), Some("shared"), 4_000.0);
+    bench.end(1, 0, "r1", Outcome::Read, 0);
+    bench.end(1, 1, "w1", Outcome::Served, 0);
+    bench.now += 100 * MS;
+    bench.of_texts(2, "next".into(), Some("shared"), 4_000.0);
+    bench.end(2, 0, "r1", Outcome::Read, 3_100);
+    bench.end(2, 1, "w1", Outcome::Served, 0);
+    bench.list(ListMode::Changes, vec![entry("w1", Listed::Draining, 0)]);
+    let text = |id, session: &str| Arrival { session: Some(TextKey(session.into())), ..arrival(id, 4_000.0) };
+    bench.pass(Event::Arrived(text(3, "new")));
+    bench.pass(Event::Arrived(text(4, "known")));
+    let done = bench.list(ListMode::Changes, vec![entry("w1", Listed::Running, 0)]);
+    assert!(matches!(&done[0], Action::Send { id: ReqId(4), .. }), "{done:?}");
+}
+
+/// Each front had its own first whole read at a writer: sixty of them at once drowned it.
+#[test]
+fn sixty_fronts_take_turns_with_whole_reads_at_a_writer() {
+    let sent = |slot: u64| {
+        let of = |me: &u32| {
+            let mut bench = one_of_many(*me, &["r1", "w1"]);
+            bench.now += slot * 5_000 * MS;
+            bench.told("r1", 0.1, 900.0);
+            bench.told("w1", 0.1, 0.0);
+            sent_to(&bench.arrive(1, 1_000.0)).is_some()
+        };
+        (0..60).filter(of).count()
+    };
+    let sent: Vec<usize> = (0..20).map(sent).collect();
+    assert!(sent.iter().all(|n| *n <= 12) && sent.iter().sum::<usize>() >= 10, "{sent:?}");
+}
+
+/// What is past its aim earns little: it leaves what is nearly full to those that can be in time.
+#[test]
+fn late_work_takes_only_what_is_free() {
+    for (late, memory, goes) in [(false, 0.8, true), (true, 0.8, false), (true, 0.3, true)] {
+        let mut bench = one_of_many(0, &["r1", "w1"]);
+        bench.told("r1", 0.1, 0.0);
+        bench.told("w1", 0.1, 0.0);
+        assert_eq!(sent_to(&bench.arrive(1, 1_000.0)).as_deref(), Some("r1"));
+        bench.now += if late { 1_500 } else { 100 } * MS;
+        bench.told("w1", memory, 0.0);
+        let sent = sent_to(&bench.end(1, 0, "r1", Outcome::Read, 0));
+        assert_eq!(sent.is_some(), goes, "late {late} memory {memory}");
+    }
+}
+
+/// Only answers taught: where all were slow, time-outs stayed short and each added another attempt.
+#[test]
+fn time_outs_teach_that_all_is_slow() {
+    let mut bench = Bench::new(&["r1", "r2", "w1"]);
+    bench.teach();
+    let timeout = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Send { timeout, .. } => Some(*timeout),
+            _ => None,
+        })
+    };
+    let before = timeout(&bench.arrive(1, 1_000.0)).unwrap();
+    bench.pass(Event::ClientGone { id: ReqId(1) });
+    for at in ["r1", "r2"] {
+        bench.end(1, 0, at, Outcome::Cancelled, 0);
+    }
+    for id in 10..12 {
+        let reader = sent_to(&bench.arrive(id, 1_000.0)).unwrap();
+        bench.now += 900 * MS;
+        bench.pass(Event::ClientGone { id: ReqId(id) });
+        bench.end(id, 0, &reader, Outcome::TimedOut, 0);
+        bench.now += 9_000 * MS;
+    }
+    let after = timeout(&bench.arrive(20, 1_000.0)).unwrap();
+    assert!(after > before, "{before} {after}");
+}
+
+/// Reports lag: a predicted end just inside the aim is not one with many fronts.
+#[test]
+fn with_many_fronts_a_read_leaves_time_for_what_is_not_yet_reported() {
+    let mut bench = one_of_many(0, &["r1", "w1"]);
+    for id in 0..6 {
+        bench.told("r1", 0.1, 0.0);
+        bench.told("w1", 0.1, 0.0);
+        let prompt = 1_000.0 + 500.0 * f64::from(id % 3);
+        sent_to(&bench.arrive(id, prompt)).unwrap();
+        bench.now += (prompt / 10.0) as Time * MS;
+        bench.end(id, 0, "r1", Outcome::Read, 0);
+        bench.first(id, 1, "w1");
+        bench.end(id, 1, "w1", Outcome::Served, 0);
+        bench.now += 500 * MS;
+    }
+    // A read of 100 ms behind 300 fits an aim of a second; behind 600 it does not any more.
+    for (id, thousands, goes) in [(11, 3.0, true), (12, 6.0, false)] {
+        bench.told("r1", 0.1, thousands);
+        bench.told("w1", 0.9, 0.0);
+        bench.told("w1", 0.1, 0.0);
+        let sent = sent_to(&bench.arrive(id, 1_000.0)).is_some_and(|at| at == "r1");
+        assert_eq!(sent, goes, "{thousands}");
+        bench.pass(Event::ClientGone { id: ReqId(id) });
+        for at in ["r1", "w1"] {
+            bench.end(id, 0, at, Outcome::Cancelled, 0);
+        }
+    }
+}
