--- a/src/brain.rs
+++ b/src/brain.rs
@@ -258,8 +258,8 @@
     /// Mean time between our requests, and when the last one came.
     gap: f64,
     came: Time,
-    /// Share of their KV memory that writers report lately: stands for those that have not reported.
-    usual_share: f64,
+    /// Tokens that writers report lately: stands for those that have not reported.
+    usual_tokens: f64,
     readers: BTreeMap<u32, f64>,
     /// Servers can be asked for their load.
     may_ask: bool,
@@ -282,7 +282,7 @@
             flow: [(0.0, 0.0); 3],
             gap: 0.0,
             came: 0,
-            usual_share: 0.0,
+            usual_tokens: 0.0,
             readers: BTreeMap::new(),
             armed: false,
             asked: None,
@@ -404,7 +404,7 @@
         let share = if waiting > QUEUED * view.kv { 1.0 } else { share.max(busy) };
         view.report = Some((share, waiting + busy * mean, now));
         if view.role != Role::Prefill {
-            self.usual_share += PACE_STEP * (share - self.usual_share);
+            self.usual_tokens += PACE_STEP * (share * view.kv - self.usual_tokens);
         }
     }
 
@@ -532,7 +532,7 @@
                 let since = view.jobs.values().filter(|job| job.sent > at).map(|job| job.tokens);
                 share * view.kv + since.sum::<f64>() * f64::from(self.set.fronts.min(HERD))
             }
-            None => view.tokens().max(self.usual_share * view.kv),
+            None => view.tokens().max(self.usual_tokens),
         }
     }
 
