--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,6 +1,7 @@
 //! Every decision of the router, every table, default and tuned value. The interface is `src/api.rs`.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
 
@@ -28,7 +29,7 @@
 /// First suspension after a failure, in shortest TTFT aims; it doubles so often, and is long enough that
 /// trials of one suspect are at most this share of our requests.
 const SUSPEND: f64 = 0.5;
-const SUSPEND_DOUBLINGS: u32 = 4;
+const DOUBLINGS: u32 = 4;
 const TRIALS: f64 = 0.1;
 /// Suspects of a role from which on servers are preferred that answered the class within so many aims.
 const WARY: usize = 2;
@@ -81,6 +82,15 @@
 /// Advice to come back is drawn from this share of the longest that clients follow, up to all of it.
 const ADVICE: f64 = 0.5;
 const SWEEP: u64 = 1;
+/// Sweeps in the time that a held state has; an answer due within so many is given now.
+const SWEEPS: u64 = 10;
+const CLOSING: u64 = 2;
+/// A failed call for the list is made again after this part of its span; ticks that a send takes to arrive.
+const ASK_AGAIN: u64 = 4;
+const TRAVEL: u64 = 4;
+/// Without a hint, the share of its longest that an answer takes; seconds of a tenant's share in its bucket.
+const ANSWER: f64 = 0.5;
+const QUOTA_SPAN: f64 = 2.0;
 
 // ---- Views of servers ----
 
@@ -260,7 +270,9 @@
     came: Time,
     /// Tokens that writers report lately: stands for those that have not reported.
     usual_tokens: f64,
+    /// Weight of the running readers, and of the writers and mixed servers, by cell.
     readers: BTreeMap<u32, f64>,
+    writers: BTreeMap<u32, f64>,
     /// Servers can be asked for their load.
     may_ask: bool,
     armed: bool,
@@ -284,6 +296,7 @@
             came: 0,
             usual_tokens: 0.0,
             readers: BTreeMap::new(),
+            writers: BTreeMap::new(),
             armed: false,
             asked: None,
         }
@@ -332,12 +345,12 @@
     }
 
     fn sweep_every(&self) -> Time {
-        (self.set.let_go_by / 10).max(self.set.tick).max(1)
+        (self.set.let_go_by / SWEEPS).max(self.set.tick).max(1)
     }
 
     /// Whether the client's time would be up before a later sweep could answer: answer now.
     fn closing(&self, now: Time, id: ReqId) -> bool {
-        self.requests.get(&id).is_none_or(|request| now + 2 * self.sweep_every() >= request.deadline)
+        self.requests.get(&id).is_none_or(|request| now + CLOSING * self.sweep_every() >= request.deadline)
     }
 
     // ---- The monitor ----
@@ -346,7 +359,7 @@
         if self.set.discovery == Discovery::Asked {
             match mode {
                 ListMode::Restored => out.push(Action::Subscribe),
-                ListMode::Failed => self.asked = Some(now + self.set.ask_within / 8),
+                ListMode::Failed => self.asked = Some(now + self.set.ask_within / ASK_AGAIN),
                 _ => self.asked = None,
             }
         }
@@ -371,16 +384,15 @@
     }
 
     fn totals(&mut self, now: Time) {
-        let (mut warm, mut readers) = ([0.0; 3], BTreeMap::new());
+        let (mut warm, mut readers, mut writers) = ([0.0; 3], BTreeMap::new(), BTreeMap::new());
         for view in self.views.values().filter(|v| v.entry.listed == Listed::Running) {
-            if view.role == Role::Prefill {
-                *readers.entry(view.entry.cell).or_insert(0.0) += view.entry.weight;
-            }
+            let cells = if view.role == Role::Prefill { &mut readers } else { &mut writers };
+            *cells.entry(view.entry.cell).or_insert(0.0) += view.entry.weight;
             if !self.cold(view, now) {
                 warm[view.role as usize] += view.entry.weight;
             }
         }
-        self.readers = readers;
+        (self.readers, self.writers) = (readers, writers);
         for (most, warm) in self.warm.iter_mut().zip(warm) {
             *most = most.max(warm);
         }
@@ -484,7 +496,7 @@
     fn strike(&mut self, server: &ServerId, class: usize, now: Time) {
         let base = (SUSPEND * self.least_aim()).max(self.gap / TRIALS);
         if let Some(health) = self.views.get_mut(server).map(|view| view.health.entry(class).or_default()) {
-            let span = base * f64::from(1u32 << health.strikes.min(SUSPEND_DOUBLINGS));
+            let span = base * f64::from(1u32 << health.strikes.min(DOUBLINGS));
             (health.strikes, health.struck, health.until) = (health.strikes + 1, now, now + span as Time);
         }
     }
@@ -538,14 +550,12 @@
 
     /// What is not known to be full is tried: a usual share must not shut writers that nobody asks then.
     fn memory(&self, view: &View, now: Time) -> f64 {
-        let known = self.reported(view, now).is_some();
-        let held = if known { self.held_tokens(view, now) } else { view.tokens() };
+        let held = self.reported(view, now).map_or(view.tokens(), |_| self.held_tokens(view, now));
         if view.kv > 0.0 { held / view.kv } else { 0.0 }
     }
 
-    /// Fronts do not see each other's streams: each gives a writer whole reads by turns drawn at random, so that
-    /// all together ask about what the slack gained at the nominal pace pays for. Guards against fronts that
-    /// drown writers at once, each for its first time.
+    /// Whole reads go to a writer by turns drawn at random, about as many as the slack gained at the nominal
+    /// pace pays for. Guards against fronts, blind to each other's streams, that each send a first at once.
     fn turn(&self, view: &View, time: f64, now: Time) -> bool {
         let slot = now / (time / (1.0 - NOMINAL)).max(1.0) as Time;
         let draw = hash(&view.entry.server.0, &format!("{} {slot}", self.set.me));
@@ -567,11 +577,10 @@
         });
         let (tenant, bucket) = (self.set.tenants.get(ask.tenant), self.quota.get_mut(ask.tenant));
         let over = tenant.zip(bucket).is_some_and(|(tenant, (level, at))| {
-            // A bucket of two seconds of this front's part of the tenant's share.
             let rate = tenant.quota_per_s / f64::from(self.set.fronts);
             *level = (*level - rate * (now - *at) as f64 / 1e6).max(0.0);
             *at = now;
-            let over = *level > 2.0 * rate;
+            let over = *level > QUOTA_SPAN * rate;
             *level += if over { 0.0 } else { 1.0 };
             over
         });
@@ -618,7 +627,6 @@
                 request.state = Some((server.clone(), now));
                 if let (Some(view), Some(job)) = (self.views.get_mut(server), &job) {
                     view.remember(&request.ask, note as f64, now);
-                    // What was found kept shortens the work that was ahead of the answer, too.
                     let x = job.x - job.unread + (request.ask.prompt - note as f64).max(0.0);
                     self.answered(server, class, now);
                     self.learn(server, Kind::Read, x, (now - job.sent) as f64);
@@ -634,8 +642,9 @@
                 self.strike(server, class, now);
                 // What ran out of time took at least so long: guards against slow servers and jammed links
                 // that would look quick, since only answers taught, and against time-outs too short for all.
-                let timed = outcome == Outcome::TimedOut;
-                if let Some(job) = job.as_ref().filter(|job| timed || job.kind == Kind::Far) {
+                if let Some(job) =
+                    job.as_ref().filter(|job| outcome == Outcome::TimedOut || job.kind == Kind::Far)
+                {
                     self.learn(server, job.kind, job.x, (now - job.sent) as f64);
                 }
             }
@@ -664,7 +673,7 @@
 
     fn sweep(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.asked.is_some_and(|at| now >= at) {
-            self.asked = Some(now + self.set.ask_within / 4);
+            self.asked = Some(now + self.set.ask_within / ASK_AGAIN);
             out.push(Action::Subscribe);
         }
         let keep = (LET_GO * self.set.let_go_by as f64) as Time;
@@ -675,7 +684,7 @@
                 request.state = None;
                 out.push(Action::Release { id });
             }
-            // The wait ends early for what has not been tried, and once the aim has passed for what is not read.
+            // The wait ends early for what has not been tried, at the aim for what is not read.
             let wait = if request.tries == 0 { HOLD * request.aim } else { request.aim };
             let early = request.state.is_none() && now >= request.arrived + wait as Time;
             if early || self.closing(now, id) {
@@ -692,13 +701,13 @@
 
     /// Places what is held, the most worthy first; a request that has just come changes nothing for others.
     fn dispatch_held(&mut self, now: Time, only: Option<ReqId>, out: &mut Vec<Action>) {
-        let mut queue: Vec<(bool, bool, i64, Time, ReqId)> = Vec::new();
+        let mut queue: Vec<(bool, bool, Reverse<u64>, Time, ReqId)> = Vec::new();
         for id in self.held().filter(|id| only.is_none_or(|only| only == *id)) {
             let Some(request) = self.requests.get(&id) else { continue };
             let worth = self.set.classes.get(request.ask.class).map_or(0.0, |class| class.worth);
             let kept = self.views.values().map(|view| view.kept(&request.ask)).fold(0.0, f64::max);
             let gain = worth * request.ask.prompt / (request.ask.prompt - kept).max(LEAST_READ);
-            queue.push((request.late(now), request.over, -(gain * 1000.0) as i64, request.arrived, id));
+            queue.push((request.late(now), request.over, Reverse(gain.to_bits()), request.arrived, id));
         }
         queue.sort_unstable();
         let mut misses = 0;
@@ -734,45 +743,43 @@
             self.memory(v, now) < if request.late(now) { ABSORB_MARK } else { MARK } && hand < left
         };
         let room: Vec<&View> = writers.into_iter().filter(room).collect();
-        let mut near: BTreeMap<u32, f64> = BTreeMap::new();
-        room.iter().for_each(|v| *near.entry(v.entry.cell).or_default() += v.entry.weight);
+        let near: BTreeSet<u32> = room.iter().map(|v| v.entry.cell).collect();
         let read =
             |view: &View, kind: Kind| self.predict(view, kind, self.ahead(view, now) + view.unread(ask), now);
         readers.retain(|_| !room.is_empty() && request.tries + 1 < self.set.most_tries);
-        // Readers by their read. Near times are a tie, which goes by a hash of session and server: all fronts
-        // then find a session's kept text at the same reader. The writers of its cell that have room weigh
-        // a reader's part, so that few states have to leave their cell.
+        // Readers by their read; near times go by a hash of session and server, weighted by what all fronts
+        // see alike: the writers of its cell, so that few states leave it. Lagging reports order nothing:
+        // guards against herds, and against sessions read anew elsewhere (seven times the work).
         let wary = self.wary(true, ask.class, now);
         let text = ask.prefix.as_ref().filter(|_| ask.shared > SHARED * ask.prompt);
         let homes = HOMES / self.readers.values().sum::<f64>().max(1.0);
-        let tie = (request.aim / TIE).max(if self.may_ask { LAG * self.least_aim() } else { 0.0 });
         let rank = |view: &&View| {
             let home = hash(&view.entry.server.0, ask.session.as_ref().map_or(&salt, |key| &key.0));
             let away = text.is_some_and(|key| unit(hash(&view.entry.server.0, &key.0)) > homes);
             let cell = &view.entry.cell;
-            let part = near.get(cell).zip(self.readers.get(cell)).map_or(0.0, |(room, all)| room / all);
+            let part =
+                self.writers.get(cell).zip(self.readers.get(cell)).map_or(0.0, |(room, all)| room / all);
             let home = (-unit(home).ln() / part.sqrt().max(LEAST_PART) / view.entry.weight).to_bits();
-            let hand = |kind: Kind| self.fits[kind as usize].at(ask.prompt);
-            let hand =
-                if part > 0.0 { hand(Kind::Near) } else { hand(Kind::Far).max(self.jam(Some(*cell), now)) };
-            let time = read(view, Kind::Read) + hand;
-            (wary(view), away, (time / tie.max(1.0)).round() as u64, home)
+            let (kind, jam) =
+                if near.contains(cell) { (Kind::Near, 0.0) } else { (Kind::Far, self.jam(Some(*cell), now)) };
+            let time = read(view, Kind::Read) + self.fits[kind as usize].at(ask.prompt).max(jam);
+            let times = if self.may_ask { 0.0 } else { time * TIE / request.aim.max(1.0) };
+            (wary(view), away, times.round() as u64, home)
         };
         readers.sort_by_cached_key(rank);
-        // Rule 1: an idle reader. All fronts see the same old report: guards against herds at what it calls idle.
+        // Rule 1: an idle reader. What an old report calls idle draws all fronts: guards against herds there.
         let crowd = self.others() >= CROWD;
         let idle = |v: &View| !crowd && v.jobs.is_empty() && self.ahead(v, now) < LEAST_READ;
         // Rule 2: a running reader with nothing waiting that will be on time. A predicted end that has
         // passed is no evidence of that.
         // It must leave time for the hand-over, and for what other fronts sent since the report's content.
-        let hand = self.fits[Kind::Near as usize].at(ask.prompt);
         let blind = if self.may_ask { BLIND * LAG * self.least_aim() } else { 0.0 };
         let on_time = |v: &View| {
             v.jobs.len() <= 1
                 && (!request.late(now) || self.ahead(v, now) < LEAST_READ)
                 && v.jobs.values().all(|job| job.due >= now)
                 && self.ahead(v, now) <= RUNNING * self.mean_read()
-                && read(v, Kind::Read) + hand + blind <= left
+                && read(v, Kind::Read) + self.fits[Kind::Near as usize].at(ask.prompt) + blind <= left
         };
         // Rule 3: a writer under its memory mark whose streams all have slack above this read.
         let absorbs = |v: &&View| {
@@ -828,13 +835,9 @@
         let left = request.aim - (now - request.arrived) as f64;
         let cell = self.views.get(reader).map(|view| view.entry.cell);
         let (wary, jam) = (self.wary(false, request.ask.class, now), self.jam(cell, now));
-        let free = |v: &View| {
-            self.memory(v, now) < ABSORB_MARK
-                && self.reported(v, now).is_none_or(|(_, wait, _)| wait < LEAST_READ)
-        };
-        let candidates = self.views.values().filter(|v| {
-            v.role != Role::Prefill && (!request.late(now) || free(v)) && self.may_send(now, id, Some(v))
-        });
+        let free = |v: &View| !request.late(now) || self.memory(v, now) < ABSORB_MARK;
+        let usable = |v: &&View| v.role != Role::Prefill && free(v) && self.may_send(now, id, Some(v));
+        let candidates = self.views.values().filter(usable);
         let key = |view: &View| {
             let far = hand_kind(view, cell) == Kind::Far;
             let tokens = self.held_tokens(view, now);
@@ -869,8 +872,7 @@
         let effect = match (&request.ran, self.set.classes.get(request.ask.class).map(|c| c.repeat)) {
             (None, _) | (_, Some(Repeat::Safe)) => true,
             (Some((first, sent)), Some(Repeat::Keyed { group, memory })) => {
-                // Kept well inside the span: the send has to arrive in it, too.
-                let inside = now + self.set.connect_timeout + 4 * self.set.tick < sent + memory;
+                let inside = now + self.set.connect_timeout + TRAVEL * self.set.tick < sent + memory;
                 let same = |to: &View| match (group, self.views.get(first)) {
                     (Group::All, _) => true,
                     (Group::Zone, Some(of)) => of.entry.zone == to.entry.zone,
@@ -916,11 +918,11 @@
         let answer = if request.ask.hint > 0 && tpot > 0.0 {
             request.ask.hint as f64 / tpot
         } else {
-            request.ask.max_out / 2.0
+            request.ask.max_out * ANSWER
         };
         let effect = kind != Kind::Read && class.is_none_or(|class| class.repeat == Repeat::Unsafe);
         let patience =
-            (GIVE_UP * time).max(GIVE_UP_AIM * request.aim) * f64::from(1u32 << request.tries.min(4));
+            (GIVE_UP * time).max(GIVE_UP_AIM * request.aim) * f64::from(1u32 << request.tries.min(DOUBLINGS));
         let left = request.deadline - now;
         let timeout = if effect { left } else { left.min(patience as Time).max(1) };
         let from = request.state.as_ref().and_then(|(at, _)| Some(self.views.get(at)?.entry.cell));
