--- a/src/brain.rs
+++ b/src/brain.rs
@@ -772,14 +772,14 @@
         let idle = |v: &View| !crowd && v.jobs.is_empty() && self.ahead(v, now) < LEAST_READ;
         // Rule 2: a running reader with nothing waiting that will be on time. A predicted end that has
         // passed is no evidence of that.
-        // It must leave time for the hand-over, and for what other fronts sent since the report's content.
+        // It must leave time for what other fronts sent since the report was true.
         let blind = if self.may_ask { BLIND * LAG * self.least_aim() } else { 0.0 };
         let on_time = |v: &View| {
             v.jobs.len() <= 1
                 && (!request.late(now) || self.ahead(v, now) < LEAST_READ)
                 && v.jobs.values().all(|job| job.due >= now)
                 && self.ahead(v, now) <= RUNNING * self.mean_read()
-                && read(v, Kind::Read) + self.fits[Kind::Near as usize].at(ask.prompt) + blind <= left
+                && read(v, Kind::Read) + blind <= left
         };
         // Rule 3: a writer under its memory mark whose streams all have slack above this read.
         let absorbs = |v: &&View| {
