--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,7 +56,7 @@
 const TIE: f64 = 20.0;
 /// Reports are held to be so old in what they tell, in shortest TTFT aims, however lately they came.
 const LAG: f64 = 1.0;
-/// Share of the lag that a read's predicted end leaves free, for queues that grow unseen.
+/// Share of the lag, or of a client's shorter time, that a predicted end leaves free for unseen queues.
 const BLIND: f64 = 0.5;
 /// A text shared by more than this share of a prompt is kept at about so many readers, not at all of them.
 const SHARED: f64 = 0.5;
@@ -773,7 +773,7 @@
         // Rule 2: a running reader with nothing waiting that will be on time. A predicted end that has
         // passed is no evidence of that.
         // It must leave time for what other fronts sent since the report was true.
-        let blind = if self.may_ask { BLIND * LAG * self.least_aim() } else { 0.0 };
+        let blind = if self.may_ask { BLIND * left.min(LAG * self.least_aim()) } else { 0.0 };
         let on_time = |v: &View| {
             v.jobs.len() <= 1
                 && (!request.late(now) || self.ahead(v, now) < LEAST_READ)
