--- a/tests/module.rs
+++ b/tests/module.rs
@@ -909,3 +909,18 @@
         }
     }
 }
+
+/// A session's turns come to different fronts, and its kept text is at one reader only.
+#[test]
+fn fronts_that_know_other_writers_to_be_full_find_a_session_at_the_same_reader() {
+    let names = ["r1", "r2", "w1", "w2"];
+    let taken = |session: u32, full: bool| {
+        let mut bench = one_of_many(session % 60, &names);
+        names.iter().for_each(|name| drop(bench.told(name, 0.1, 0.0)));
+        bench.told("w1", if full { 0.95 } else { 0.1 }, 0.0);
+        sent_to(&bench.of_texts(1, format!("s{session}"), None, 1_000.0)).unwrap()
+    };
+    for session in 0..40 {
+        assert_eq!(taken(session, false), taken(session, true), "session {session}");
+    }
+}
