Workspace with codecs and coroutine sockets for the running front

This lays the packages out and adds two of them: crates/protocol (HTTP/1.1, SSE, JSON-RPC, MCP, chat completions with kv_transfer_params, ORCA reports), free of I/O, and crates/net (spawning on may, connections with bounds and time limits, one-owner threads).

--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,74 @@
+//! The asking side of HTTP/1.1: connect, send, read the answer.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use elderstage_protocol::http::{self, Body};
+use may::net::TcpStream;
+
+use crate::conn::{Conn, LEAST_WAIT, NetError};
+
+/// Where a server is reached, and the path of its service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Endpoint {
+    pub addr: SocketAddr,
+    pub path: String,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub head: http::Response,
+    pub body: Vec<u8>,
+}
+
+/// An answer whose body is still to come.
+pub struct Reply {
+    pub head: http::Response,
+    pub body: Body,
+}
+
+/// Opens a connection; no longer than `time`.
+pub fn open(addr: SocketAddr, time: Duration) -> Result<Conn, NetError> {
+    let stream = TcpStream::connect_timeout(&addr, time.max(LEAST_WAIT))?;
+    // The descriptor is taken over by way of a copy: the runtime's own stream cannot be shut from outside.
+    Conn::new(stream.inner().try_clone()?)
+}
+
+/// Writes a request.
+pub fn send(
+    conn: &mut Conn,
+    method: &str,
+    to: &Endpoint,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Result<(), NetError> {
+    let mut out = Vec::with_capacity(256 + body.len());
+    http::write_request(method, &to.path, &to.addr.to_string(), headers, body, &mut out);
+    conn.write(&out)
+}
+
+/// Reads the rest of an answer.
+pub fn read_body(conn: &mut Conn, reply: Reply) -> Result<Answer, NetError> {
+    let body = conn.body(reply.body.framing())?;
+    Ok(Answer { head: reply.head, body })
+}
+
+/// One request on a connection of its own, answered whole within `time`.
+pub fn exchange(
+    method: &str,
+    to: &Endpoint,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    time: Duration,
+) -> Result<Answer, NetError> {
+    let end = Instant::now() + time;
+    let mut conn = open(to.addr, time)?;
+    conn.set_write_timeout(Some(time));
+    send(&mut conn, method, to, headers, body)?;
+    conn.set_read_timeout(Some(end.saturating_duration_since(Instant::now())));
+    let head = conn.response()?;
+    let framing = head.framing;
+    conn.set_read_timeout(Some(end.saturating_duration_since(Instant::now())));
+    read_body(&mut conn, Reply { head, body: Body::new(framing) })
+}
--- /dev/null
+++ b/crates/net/src/conn.rs
@@ -0,0 +1,221 @@
+//! One connection: buffered reading of HTTP messages, and writing, each with a time limit.
+
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::os::fd::{AsRawFd, RawFd};
+use std::sync::Arc;
+use std::time::Duration;
+
+use elderstage_protocol::http::{self, Body, Framing, HttpError, Limits};
+use may::io::CoIo;
+use thiserror::Error;
+
+/// Bytes asked of the system in one read.
+const READ: usize = 8 << 10;
+/// A wait of zero would mean for ever.
+pub(crate) const LEAST_WAIT: Duration = Duration::from_micros(100);
+
+/// How reading or writing failed.
+#[derive(Debug, Error)]
+pub enum NetError {
+    #[error("the peer closed the connection")]
+    Closed,
+    #[error("no answer in time")]
+    TimedOut,
+    #[error("connection: {0}")]
+    Io(io::Error),
+    #[error("HTTP: {0}")]
+    Http(#[from] HttpError),
+}
+
+impl From<io::Error> for NetError {
+    fn from(error: io::Error) -> NetError {
+        match error.kind() {
+            io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => NetError::TimedOut,
+            io::ErrorKind::UnexpectedEof => NetError::Closed,
+            _ => NetError::Io(error),
+        }
+    }
+}
+
+/// A descriptor that a coroutine reads and writes while others may shut it.
+#[derive(Clone)]
+struct Shared(Arc<TcpStream>);
+
+impl AsRawFd for Shared {
+    fn as_raw_fd(&self) -> RawFd {
+        self.0.as_raw_fd()
+    }
+}
+
+impl Read for Shared {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        (&*self.0).read(buffer)
+    }
+}
+
+impl Write for Shared {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        (&*self.0).write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A handle on a connection that another coroutine or thread uses: shutting it ends its reads and writes.
+#[derive(Clone)]
+pub struct Socket(Arc<TcpStream>);
+
+impl Socket {
+    /// Ends all reading and writing on it, now and later.
+    pub fn shut(&self) {
+        // An error means that the peer has closed it already.
+        let _ = self.0.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+/// A connection with what has been read and not used yet.
+pub struct Conn {
+    io: CoIo<Shared>,
+    buffer: Vec<u8>,
+    at: usize,
+    pub limits: Limits,
+}
+
+impl Conn {
+    /// Takes a connection over. Fails where the system has no room to watch it.
+    pub fn new(stream: TcpStream) -> Result<Conn, NetError> {
+        // Small messages that wait for acknowledgement would add up to 40 ms to a token.
+        stream.set_nodelay(true)?;
+        let io = CoIo::new(Shared(Arc::new(stream))).map_err(|error| NetError::Io(error.into()))?;
+        Ok(Conn { io, buffer: Vec::new(), at: 0, limits: Limits::default() })
+    }
+
+    pub fn socket(&self) -> Socket {
+        Socket(self.io.inner().0.clone())
+    }
+
+    /// A second handle for writing from another coroutine; takes a descriptor of its own.
+    pub fn writer(&self) -> Result<Conn, NetError> {
+        let mut conn = Conn::new(self.io.inner().0.try_clone()?)?;
+        conn.limits = self.limits;
+        Ok(conn)
+    }
+
+    pub fn set_read_timeout(&self, time: Option<Duration>) {
+        // Stored beside the descriptor, no call to the system: it cannot fail.
+        let _ = self.io.set_read_timeout(time.map(|t| t.max(LEAST_WAIT)));
+    }
+
+    pub fn set_write_timeout(&self, time: Option<Duration>) {
+        let _ = self.io.set_write_timeout(time.map(|t| t.max(LEAST_WAIT)));
+    }
+
+    fn pending(&self) -> &[u8] {
+        &self.buffer[self.at..]
+    }
+
+    /// Bytes that have come and were not used yet.
+    pub fn has_pending(&self) -> bool {
+        !self.pending().is_empty()
+    }
+
+    /// Whether an idle connection is still good for a request: open, and nothing unasked has come on it.
+    pub fn is_idle(&self) -> bool {
+        let mut byte = [0];
+        let peeked = self.io.inner().0.peek(&mut byte);
+        !self.has_pending() && matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Reads more from the peer.
+    pub fn fill(&mut self) -> Result<(), NetError> {
+        if self.at > 0 {
+            self.buffer.drain(..self.at);
+            self.at = 0;
+        }
+        let old = self.buffer.len();
+        self.buffer.resize(old + READ, 0);
+        let read = self.io.read(&mut self.buffer[old..]);
+        self.buffer.truncate(old + *read.as_ref().unwrap_or(&0));
+        if read? == 0 {
+            return Err(NetError::Closed);
+        }
+        Ok(())
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) -> Result<(), NetError> {
+        Ok(self.io.write_all(bytes)?)
+    }
+
+    /// The next request's head. `Closed` where the peer ended in good order before a first byte.
+    pub fn request(&mut self) -> Result<http::Request, NetError> {
+        loop {
+            if let Some((head, n)) = http::parse_request(self.pending(), self.limits)? {
+                self.at += n;
+                return Ok(head);
+            }
+            self.fill()?;
+        }
+    }
+
+    /// The next response's head; interim responses (1xx) are passed over.
+    pub fn response(&mut self) -> Result<http::Response, NetError> {
+        loop {
+            match http::parse_response(self.pending(), self.limits)? {
+                Some((head, n)) => {
+                    self.at += n;
+                    if head.status >= 200 {
+                        return Ok(head);
+                    }
+                }
+                None => self.fill()?,
+            }
+        }
+    }
+
+    /// The next piece of a body, appended to `out`; `false` when the body has ended.
+    pub fn body_piece(&mut self, body: &mut Body, out: &mut Vec<u8>) -> Result<bool, NetError> {
+        loop {
+            if body.done() {
+                return Ok(false);
+            }
+            if self.has_pending() {
+                let before = out.len();
+                let n = body.push(&self.buffer[self.at..], out)?;
+                self.at += n;
+                if out.len() > before {
+                    return Ok(true);
+                }
+                if body.done() {
+                    return Ok(false);
+                }
+            }
+            match self.fill() {
+                Err(NetError::Closed) if body_runs_to_close(body) => return Ok(false),
+                other => other?,
+            }
+        }
+    }
+
+    /// A whole body, within the limit.
+    pub fn body(&mut self, framing: Framing) -> Result<Vec<u8>, NetError> {
+        if let Framing::Length(n) = framing
+            && n > self.limits.body as u64
+        {
+            return Err(HttpError::BodyTooLarge(self.limits.body).into());
+        }
+        let (mut body, mut out) = (Body::new(framing), Vec::new());
+        while self.body_piece(&mut body, &mut out)? {
+            if out.len() > self.limits.body {
+                return Err(HttpError::BodyTooLarge(self.limits.body).into());
+            }
+        }
+        Ok(out)
+    }
+}
+
+fn body_runs_to_close(body: &Body) -> bool {
+    body.framing() == Framing::UntilClose
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,21 @@
+//! Coroutine sockets for fronts, stand-ins and scripted clients: spawning, and HTTP/1.1 over a connection.
+//!
+//! A coroutine's stack is small and fixed ([`STACK_WORDS`]); what needs more than that does not belong in one.
+//! Nothing here decides anything: callers get bytes, heads and errors.
+
+mod client;
+mod conn;
+mod listener;
+pub mod owner;
+mod spawn;
+
+pub use client::{Answer, Endpoint, Reply, exchange, open, read_body, send};
+pub use conn::{Conn, NetError, Socket};
+pub use listener::{Listener, Stop};
+pub use may::coroutine::sleep;
+pub use spawn::{STACK_WORDS, go, init};
+
+/// Channels between coroutines, and from threads to coroutines.
+pub mod channel {
+    pub use may::sync::mpsc::{Receiver, Sender, channel};
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,17 @@
+//! Codecs of the published protocols that elderstage speaks, free of I/O: bytes in, values out.
+//!
+//! - [`http`]: HTTP/1.1 heads and bodies (RFC 9112), with bounds on all that a peer may make us hold.
+//! - [`sse`]: server-sent events (WHATWG HTML, section 9.2).
+//! - [`jsonrpc`]: JSON-RPC 2.0 messages.
+//! - [`mcp`]: the Model Context Protocol, revisions 2025-06-18 and 2025-11-25, both sides.
+//! - [`engine`]: chat completions as model servers stream them, with `kv_transfer_params`.
+//! - [`orca`]: load reports in the `endpoint-load-metrics` header.
+//!
+//! Nothing here decides anything: what a message means for a request is told by `elderstage-core`.
+
+pub mod engine;
+pub mod http;
+pub mod jsonrpc;
+pub mod mcp;
+pub mod orca;
+pub mod sse;
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Under way.
