Core of the product: chains of legs, evidence, members, and the line-based configuration

A front needs decisions that are not the module's: what a request over several turns may promise, what a socket proves, what follows a lost tool call, which starts of servers are news.

--- /dev/null
+++ b/crates/config/src/model.rs
@@ -0,0 +1,149 @@
+//! What a file says, typed. Times are microseconds.
+
+use std::net::SocketAddr;
+
+/// Microseconds.
+pub type Micros = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoleName {
+    Prefill,
+    Decode,
+    Mixed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GroupName {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatName {
+    Safe,
+    Keyed { group: GroupName, memory: Micros },
+    Unsafe,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClassConfig {
+    pub line: usize,
+    pub name: String,
+    pub repeat: RepeatName,
+    pub first_token: Micros,
+    pub first_token_per_1000: Micros,
+    pub token_gap: Micros,
+    pub give_up: Micros,
+    pub give_up_per_1000: Micros,
+    pub total: Micros,
+    pub worth: f64,
+    pub late_worth: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct ToolConfig {
+    pub line: usize,
+    pub name: String,
+    pub addr: SocketAddr,
+    pub path: String,
+    pub effect: bool,
+    pub timeout: Micros,
+    pub tries: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteConfig {
+    pub line: usize,
+    pub name: String,
+    pub class: String,
+    pub description: String,
+    pub model: String,
+    pub tools: Vec<String>,
+    pub preamble: String,
+    pub max_tokens: u32,
+    pub most_turns: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct KindConfig {
+    pub line: usize,
+    pub name: String,
+    pub role: RoleName,
+    pub kv_tokens: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StateName {
+    Running,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerConfig {
+    pub line: usize,
+    pub name: String,
+    pub addr: SocketAddr,
+    pub kind: String,
+    pub zone: String,
+    pub cell: u32,
+    pub weight: f64,
+    pub state: StateName,
+    /// Unix time of the process's start, in seconds; 0 means long ago.
+    pub started: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct FrontConfig {
+    pub listen: SocketAddr,
+    pub name: String,
+    pub zone: String,
+    pub number: u32,
+    pub fronts: u32,
+    pub workers: usize,
+    pub most_requests: usize,
+    /// A connection on which nothing moves is closed after this time.
+    pub idle: Micros,
+    /// A client that takes nothing off its connection for this time has left.
+    pub stall: Micros,
+    pub head: usize,
+    pub body: usize,
+    /// Most bytes of one answer.
+    pub answer: usize,
+    /// How long a drain may take.
+    pub drain: Micros,
+}
+
+/// The rules' figures and what the deployment allows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RulesConfig {
+    pub answer_slack: Micros,
+    pub drain_grace: Micros,
+    pub let_go: Micros,
+    pub cold_from: f64,
+    pub cold_for: Micros,
+    pub fall_multiple: f64,
+    pub tip_after: Micros,
+    pub most_tries: u32,
+    pub connect: Micros,
+    pub retry_after: Micros,
+    pub writers_read: bool,
+    pub probes: bool,
+    pub reports_in_answers: bool,
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    pub front: FrontConfig,
+    pub rules: RulesConfig,
+    pub zones: Vec<String>,
+    pub classes: Vec<ClassConfig>,
+    pub tools: Vec<ToolConfig>,
+    pub routes: Vec<RouteConfig>,
+    pub kinds: Vec<KindConfig>,
+    pub servers: Vec<ServerConfig>,
+    /// A file with servers, which is followed while the front runs.
+    pub servers_file: Option<String>,
+}
--- /dev/null
+++ b/crates/config/src/read.rs
@@ -0,0 +1,519 @@
+//! Directives to the typed configuration, with all errors of a file in one go.
+
+use std::net::SocketAddr;
+
+use crate::lines::{ConfigError, Directive, Errors, directives};
+use crate::model::*;
+
+/// Gathers what is wrong, and reads values with a word on what was expected.
+struct Reader<'a> {
+    file: &'a str,
+    errors: Vec<ConfigError>,
+}
+
+/// The directives of one section, each taken at most once.
+struct Section<'a> {
+    line: usize,
+    name: String,
+    directives: Vec<Option<&'a Directive>>,
+}
+
+impl Reader<'_> {
+    fn wrong(&mut self, line: usize, what: impl Into<String>) {
+        self.errors.push(ConfigError { file: self.file.into(), line, what: what.into() });
+    }
+
+    fn section<'a>(&mut self, directive: &'a Directive, named: bool) -> Section<'a> {
+        let wanted = usize::from(named);
+        if directive.values.len() != wanted {
+            let what = if named { "one name and {" } else { "{ and no name" };
+            self.wrong(directive.line, format!("expected {} {what}", directive.name));
+        }
+        let body = match &directive.body {
+            Some(body) => body.iter().map(Some).collect(),
+            None => {
+                self.wrong(directive.line, format!("expected {{ after {}", directive.name));
+                Vec::new()
+            }
+        };
+        let name = directive.values.first().cloned().unwrap_or_default();
+        Section { line: directive.line, name, directives: body }
+    }
+
+    /// The values of a directive; `None` where it is not given.
+    fn take<'a>(&mut self, section: &mut Section<'a>, name: &str) -> Option<&'a Directive> {
+        let mut found: Option<&'a Directive> = None;
+        for slot in &mut section.directives {
+            if slot.is_some_and(|d| d.name == name) {
+                let directive = slot.take()?;
+                match found {
+                    Some(first) => {
+                        let what = format!("{name} stands already on line {}", first.line);
+                        self.wrong(directive.line, what);
+                    }
+                    None => found = Some(directive),
+                }
+            }
+        }
+        if let Some(directive) = found
+            && directive.body.is_some()
+        {
+            self.wrong(directive.line, format!("{name} takes no {{"));
+        }
+        found
+    }
+
+    /// One value, read by `read`; `default` where it is not given, an error where there is none.
+    fn one<T>(
+        &mut self,
+        section: &mut Section<'_>,
+        name: &str,
+        default: Option<T>,
+        expected: &str,
+        read: impl Fn(&str) -> Option<T>,
+        stand_in: T,
+    ) -> T {
+        match self.take(section, name) {
+            None => match default {
+                Some(value) => value,
+                None => {
+                    self.wrong(section.line, format!("expected {name} in section \"{}\"", section.name));
+                    stand_in
+                }
+            },
+            Some(directive) => {
+                let value = match directive.values.as_slice() {
+                    [value] => read(value),
+                    _ => None,
+                };
+                value.unwrap_or_else(|| {
+                    let got = directive.values.join(" ");
+                    self.wrong(directive.line, format!("{name}: expected {expected}, not \"{got}\""));
+                    stand_in
+                })
+            }
+        }
+    }
+
+    fn time(&mut self, section: &mut Section<'_>, name: &str, default: Option<&str>) -> Micros {
+        let default = default.and_then(time);
+        self.one(section, name, default, "a time such as 300ms or 2s", time, 1)
+    }
+
+    fn number(
+        &mut self,
+        section: &mut Section<'_>,
+        name: &str,
+        default: Option<f64>,
+        range: (f64, f64),
+    ) -> f64 {
+        let expected = format!("a number from {} to {}", range.0, range.1);
+        let read = |text: &str| number(text).filter(|n| *n >= range.0 && *n <= range.1);
+        self.one(section, name, default, &expected, read, range.0)
+    }
+
+    fn text(&mut self, section: &mut Section<'_>, name: &str, default: Option<&str>) -> String {
+        let read = |text: &str| Some(text.to_owned());
+        self.one(section, name, default.map(str::to_owned), "one word or quoted text", read, String::new())
+    }
+
+    fn addr(&mut self, section: &mut Section<'_>, name: &str, default: Option<&str>) -> SocketAddr {
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        let default = default.and_then(|text| text.parse().ok());
+        let expected = "an address and port such as 127.0.0.1:8000";
+        self.one(section, name, default, expected, |text| text.parse().ok(), nowhere)
+    }
+
+    fn yes(&mut self, section: &mut Section<'_>, name: &str, default: bool) -> bool {
+        let read = |text: &str| match text {
+            "yes" => Some(true),
+            "no" => Some(false),
+            _ => None,
+        };
+        self.one(section, name, Some(default), "yes or no", read, false)
+    }
+
+    fn finish(&mut self, section: Section<'_>) {
+        for directive in section.directives.into_iter().flatten() {
+            let what = format!("unknown directive {} in section \"{}\"", directive.name, section.name);
+            self.wrong(directive.line, what);
+        }
+    }
+}
+
+/// `300ms`, `2s`, `500us`, `1m`; the unit is required, since a bare number says too little.
+fn time(text: &str) -> Option<Micros> {
+    let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+    let unit = match &text[digits.len()..] {
+        "us" => 1.0,
+        "ms" => 1e3,
+        "s" => 1e6,
+        "m" => 60e6,
+        "h" => 3600e6,
+        _ => return None,
+    };
+    let value: f64 = digits.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)?;
+    Some((value * unit).round() as Micros)
+}
+
+/// `20`, `0.5`, `160k`, `1M`.
+fn number(text: &str) -> Option<f64> {
+    let (digits, unit) = match text.strip_suffix('k') {
+        Some(digits) => (digits, 1e3),
+        None => text.strip_suffix('M').map_or((text, 1.0), |digits| (digits, 1e6)),
+    };
+    digits.parse::<f64>().ok().filter(|v| v.is_finite()).map(|v| v * unit)
+}
+
+/// `http://127.0.0.1:9000/mcp`.
+fn url(text: &str) -> Option<(SocketAddr, String)> {
+    let rest = text.strip_prefix("http://")?;
+    let (addr, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+    let path = if path.is_empty() { "/" } else { path };
+    let clean = path.bytes().all(|b| b.is_ascii_graphic());
+    Some((addr.parse().ok()?, path.to_owned())).filter(|_| clean)
+}
+
+fn repeat(reader: &mut Reader<'_>, section: &mut Section<'_>) -> RepeatName {
+    let expected = "repeat: expected safe, unsafe, or keyed with all, zone or cell and a time";
+    let Some(directive) = reader.take(section, "repeat") else {
+        reader.wrong(section.line, format!("expected repeat in section \"{}\"", section.name));
+        return RepeatName::Unsafe;
+    };
+    let words: Vec<&str> = directive.values.iter().map(String::as_str).collect();
+    let group = |word: &str| match word {
+        "all" => Some(GroupName::All),
+        "zone" => Some(GroupName::Zone),
+        "cell" => Some(GroupName::Cell),
+        _ => None,
+    };
+    let read = match words.as_slice() {
+        ["safe"] => Some(RepeatName::Safe),
+        ["unsafe"] => Some(RepeatName::Unsafe),
+        ["keyed", of, memory] => {
+            group(of).zip(time(memory)).map(|(group, memory)| RepeatName::Keyed { group, memory })
+        }
+        _ => None,
+    };
+    read.unwrap_or_else(|| {
+        reader.wrong(directive.line, expected);
+        RepeatName::Unsafe
+    })
+}
+
+fn class(reader: &mut Reader<'_>, directive: &Directive) -> ClassConfig {
+    let mut section = reader.section(directive, true);
+    let s = &mut section;
+    let repeat = repeat(reader, s);
+    let first_token = reader.time(s, "first-token", None);
+    let give_up = reader.time(s, "give-up", None);
+    let class = ClassConfig {
+        line: directive.line,
+        name: s.name.clone(),
+        repeat,
+        first_token,
+        first_token_per_1000: reader.time(s, "first-token-per-1000", Some("0ms")),
+        token_gap: reader.time(s, "token-gap", Some("60ms")),
+        give_up,
+        give_up_per_1000: reader.time(s, "give-up-per-1000", Some("0ms")),
+        total: reader.time(s, "total", Some("120s")),
+        worth: reader.number(s, "worth", Some(1.0), (0.0, 1e6)),
+        late_worth: reader.number(s, "late-worth", Some(0.1), (0.0, 1.0)),
+    };
+    if class.first_token == 0 || class.give_up < class.first_token {
+        reader.wrong(directive.line, "expected first-token above 0 and no longer than give-up");
+    }
+    if class.total < class.give_up {
+        reader.wrong(directive.line, "expected total to be no shorter than give-up");
+    }
+    reader.finish(section);
+    class
+}
+
+fn tool(reader: &mut Reader<'_>, directive: &Directive) -> ToolConfig {
+    let mut section = reader.section(directive, true);
+    let s = &mut section;
+    let nowhere = (SocketAddr::from(([0, 0, 0, 0], 0)), String::new());
+    let expected = "a URL such as http://127.0.0.1:9000/mcp";
+    let (addr, path) = reader.one(s, "url", None, expected, url, nowhere);
+    let read = |text: &str| match text {
+        "none" => Some(false),
+        "lasting" => Some(true),
+        _ => None,
+    };
+    let tool = ToolConfig {
+        line: directive.line,
+        name: s.name.clone(),
+        addr,
+        path,
+        effect: reader.one(s, "effect", None, "none or lasting", read, true),
+        timeout: reader.time(s, "timeout", Some("5s")),
+        tries: reader.number(s, "tries", Some(2.0), (1.0, 10.0)) as u32,
+    };
+    reader.finish(section);
+    tool
+}
+
+fn route(reader: &mut Reader<'_>, directive: &Directive) -> RouteConfig {
+    let mut section = reader.section(directive, true);
+    let s = &mut section;
+    let tools = reader.take(s, "tools").map(|d| d.values.clone()).unwrap_or_default();
+    let name = s.name.clone();
+    let route = RouteConfig {
+        line: directive.line,
+        class: reader.text(s, "class", None),
+        description: reader.text(s, "description", Some(&format!("Answers a prompt on route {name}."))),
+        model: reader.text(s, "model", Some(&name)),
+        tools,
+        preamble: reader.text(s, "preamble", Some("")),
+        max_tokens: reader.number(s, "max-tokens", Some(512.0), (1.0, 1e6)) as u32,
+        most_turns: reader.number(s, "most-turns", Some(4.0), (1.0, 64.0)) as u32,
+        name,
+    };
+    reader.finish(section);
+    route
+}
+
+fn kind(reader: &mut Reader<'_>, directive: &Directive) -> KindConfig {
+    let mut section = reader.section(directive, true);
+    let s = &mut section;
+    let read = |text: &str| match text {
+        "prefill" => Some(RoleName::Prefill),
+        "decode" => Some(RoleName::Decode),
+        "mixed" => Some(RoleName::Mixed),
+        _ => None,
+    };
+    let kind = KindConfig {
+        line: directive.line,
+        name: s.name.clone(),
+        role: reader.one(s, "role", None, "prefill, decode or mixed", read, RoleName::Mixed),
+        kv_tokens: reader.number(s, "kv-tokens", None, (1.0, 1e12)),
+    };
+    reader.finish(section);
+    kind
+}
+
+fn server(reader: &mut Reader<'_>, directive: &Directive) -> ServerConfig {
+    let mut section = reader.section(directive, true);
+    let s = &mut section;
+    let read = |text: &str| match text {
+        "running" => Some(StateName::Running),
+        "draining" => Some(StateName::Draining),
+        "gone" => Some(StateName::Gone),
+        _ => None,
+    };
+    let expected = "running, draining or gone";
+    let server = ServerConfig {
+        line: directive.line,
+        name: s.name.clone(),
+        addr: reader.addr(s, "address", None),
+        kind: reader.text(s, "kind", None),
+        zone: reader.text(s, "zone", None),
+        cell: reader.number(s, "cell", Some(0.0), (0.0, 1e6)) as u32,
+        weight: reader.number(s, "weight", Some(1.0), (0.001, 1e6)),
+        state: reader.one(s, "state", Some(StateName::Running), expected, read, StateName::Running),
+        started: reader.number(s, "started", Some(0.0), (0.0, 1e12)),
+    };
+    reader.finish(section);
+    server
+}
+
+fn front(reader: &mut Reader<'_>, directive: &Directive) -> FrontConfig {
+    let mut section = reader.section(directive, false);
+    let s = &mut section;
+    s.name = "front".into();
+    let front = FrontConfig {
+        listen: reader.addr(s, "listen", Some("127.0.0.1:7080")),
+        name: reader.text(s, "name", Some("front")),
+        zone: reader.text(s, "zone", None),
+        number: reader.number(s, "number", Some(0.0), (0.0, 1e6)) as u32,
+        fronts: reader.number(s, "fronts", Some(1.0), (1.0, 1e6)) as u32,
+        workers: reader.number(s, "workers", Some(2.0), (1.0, 1024.0)) as usize,
+        most_requests: reader.number(s, "most-requests", Some(20_000.0), (1.0, 1e6)) as usize,
+        idle: reader.time(s, "idle", Some("60s")),
+        stall: reader.time(s, "stall", Some("10s")),
+        head: reader.number(s, "head", Some(16_384.0), (1024.0, 1e6)) as usize,
+        body: reader.number(s, "body", Some(1_048_576.0), (1024.0, 1e9)) as usize,
+        answer: reader.number(s, "answer", Some(1_048_576.0), (1024.0, 1e9)) as usize,
+        drain: reader.time(s, "drain", Some("30s")),
+    };
+    reader.finish(section);
+    front
+}
+
+fn rules(reader: &mut Reader<'_>, directive: Option<&Directive>) -> RulesConfig {
+    let empty = Directive { line: 1, name: "rules".into(), values: Vec::new(), body: Some(Vec::new()) };
+    let mut section = reader.section(directive.unwrap_or(&empty), false);
+    let s = &mut section;
+    s.name = "rules".into();
+    let rules = RulesConfig {
+        answer_slack: reader.time(s, "answer-slack", Some("50ms")),
+        drain_grace: reader.time(s, "drain-grace", Some("2s")),
+        let_go: reader.time(s, "let-go", Some("300ms")),
+        cold_from: reader.number(s, "cold-from", Some(0.3), (0.01, 1.0)),
+        cold_for: reader.time(s, "cold-for", Some("12s")),
+        fall_multiple: reader.number(s, "fall-multiple", Some(4.0), (1.0, 1000.0)),
+        tip_after: reader.time(s, "tip-after", Some("2s")),
+        most_tries: reader.number(s, "most-tries", Some(4.0), (1.0, 100.0)) as u32,
+        connect: reader.time(s, "connect", Some("250ms")),
+        retry_after: reader.time(s, "retry-after", Some("500ms")),
+        writers_read: reader.yes(s, "writers-read", true),
+        probes: reader.yes(s, "probes", true),
+        reports_in_answers: reader.yes(s, "reports-in-answers", true),
+    };
+    reader.finish(section);
+    rules
+}
+
+fn unique<'a>(reader: &mut Reader<'_>, what: &str, names: impl Iterator<Item = (usize, &'a str)>) {
+    let mut seen = std::collections::BTreeMap::new();
+    for (line, name) in names {
+        if let Some(first) = seen.insert(name, line) {
+            reader.wrong(line, format!("{what} {name} stands already on line {first}"));
+        }
+    }
+}
+
+/// Checks servers against the kinds and zones that they name.
+fn check_servers(reader: &mut Reader<'_>, servers: &[ServerConfig], kinds: &[KindConfig], zones: &[String]) {
+    unique(reader, "server", servers.iter().map(|s| (s.line, s.name.as_str())));
+    for server in servers {
+        if !kinds.iter().any(|kind| kind.name == server.kind) {
+            reader.wrong(server.line, format!("server {}: no kind is called {}", server.name, server.kind));
+        }
+        if !zones.contains(&server.zone) {
+            reader.wrong(server.line, format!("server {}: no zone is called {}", server.name, server.zone));
+        }
+    }
+}
+
+/// Reads a whole configuration. `file` is its name in messages.
+pub fn parse(file: &str, text: &str) -> Result<Config, Errors> {
+    let all = directives(file, text)?;
+    let mut reader = Reader { file, errors: Vec::new() };
+    let r = &mut reader;
+    let (mut fronts, mut rule_sections, mut zones) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut classes, mut tools, mut routes) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut kinds, mut servers, mut files) = (Vec::new(), Vec::new(), Vec::new());
+    for directive in &all {
+        match directive.name.as_str() {
+            "front" => fronts.push(directive),
+            "rules" => rule_sections.push(directive),
+            "zones" => zones.extend(directive.values.iter().cloned()),
+            "class" => classes.push(class(r, directive)),
+            "tool" => tools.push(tool(r, directive)),
+            "route" => routes.push(route(r, directive)),
+            "kind" => kinds.push(kind(r, directive)),
+            "server" => servers.push(server(r, directive)),
+            "servers" => match directive.values.as_slice() {
+                [path] => files.push((directive.line, path.clone())),
+                _ => r.wrong(directive.line, "servers: expected the path of a file"),
+            },
+            other => r.wrong(directive.line, format!("unknown directive {other}")),
+        }
+    }
+    for doubled in fronts.iter().skip(1).chain(rule_sections.iter().skip(1)) {
+        r.wrong(doubled.line, format!("{} stands already in this file", doubled.name));
+    }
+    if let Some((line, _)) = files.get(1) {
+        r.wrong(*line, "servers stands already in this file");
+    }
+    let front = match fronts.first() {
+        Some(directive) => Some(front(r, directive)),
+        None => {
+            r.wrong(1, "expected a front section");
+            None
+        }
+    };
+    let rules = rules(r, rule_sections.first().copied());
+    check(r, front.as_ref(), &zones, &classes, &tools, &routes, &kinds);
+    check_servers(r, &servers, &kinds, &zones);
+    let servers_file = files.into_iter().next().map(|(_, path)| path);
+    if servers.is_empty() && servers_file.is_none() {
+        r.wrong(1, "expected a server, or servers with the path of a file");
+    }
+    let mut errors = reader.errors;
+    match front {
+        Some(front) if errors.is_empty() => {
+            Ok(Config { front, rules, zones, classes, tools, routes, kinds, servers, servers_file })
+        }
+        _ => {
+            errors.sort_by_key(|error| error.line);
+            Err(Errors(errors))
+        }
+    }
+}
+
+/// What names another thing must name one that is there, and what would break a rule is refused.
+fn check(
+    r: &mut Reader<'_>,
+    front: Option<&FrontConfig>,
+    zones: &[String],
+    classes: &[ClassConfig],
+    tools: &[ToolConfig],
+    routes: &[RouteConfig],
+    kinds: &[KindConfig],
+) {
+    unique(r, "class", classes.iter().map(|c| (c.line, c.name.as_str())));
+    unique(r, "tool", tools.iter().map(|t| (t.line, t.name.as_str())));
+    unique(r, "route", routes.iter().map(|t| (t.line, t.name.as_str())));
+    unique(r, "kind", kinds.iter().map(|k| (k.line, k.name.as_str())));
+    for (what, empty) in
+        [("class", classes.is_empty()), ("route", routes.is_empty()), ("kind", kinds.is_empty())]
+    {
+        if empty {
+            r.wrong(1, format!("expected at least one {what}"));
+        }
+    }
+    if zones.is_empty() {
+        r.wrong(1, "expected zones with at least one name");
+    }
+    if let Some(front) = front
+        && !zones.contains(&front.zone)
+    {
+        r.wrong(1, format!("front: no zone is called {}", front.zone));
+    }
+    if let Some(front) = front
+        && front.number >= front.fronts
+    {
+        r.wrong(1, "front: expected number to be below fronts");
+    }
+    for route in routes {
+        let class = classes.iter().find(|class| class.name == route.class);
+        if class.is_none() {
+            r.wrong(route.line, format!("route {}: no class is called {}", route.name, route.class));
+        }
+        for name in &route.tools {
+            match tools.iter().find(|tool| tool.name == *name) {
+                None => r.wrong(route.line, format!("route {}: no tool is called {name}", route.name)),
+                // A safe request may run again, and would call the tool again.
+                Some(tool) if tool.effect && class.is_some_and(|c| c.repeat == RepeatName::Safe) => {
+                    let what = format!(
+                        "route {}: tool {name} has a lasting effect, and class {} is safe to repeat",
+                        route.name, route.class
+                    );
+                    r.wrong(route.line, what);
+                }
+                Some(_) => {}
+            }
+        }
+    }
+}
+
+/// Reads a file of servers, checked against the configuration it belongs to.
+pub fn parse_servers(file: &str, text: &str, config: &Config) -> Result<Vec<ServerConfig>, Errors> {
+    let all = directives(file, text)?;
+    let mut reader = Reader { file, errors: Vec::new() };
+    let mut servers = Vec::new();
+    for directive in &all {
+        match directive.name.as_str() {
+            "server" => servers.push(server(&mut reader, directive)),
+            other => reader.wrong(directive.line, format!("expected server, not {other}")),
+        }
+    }
+    check_servers(&mut reader, &servers, &config.kinds, &config.zones);
+    if servers.is_empty() {
+        reader.wrong(1, "expected at least one server");
+    }
+    if reader.errors.is_empty() { Ok(servers) } else { Err(Errors(reader.errors)) }
+}
--- /dev/null
+++ b/crates/core/src/evidence.rs
@@ -0,0 +1,120 @@
+//! What was seen of an attempt or a tool call, and what it proves.
+//!
+//! The front reports what its sockets showed; here it becomes the [`Outcome`] that the module is told. The line
+//! between "proved never to have run" and "may have run" is drawn narrowly, since a wrong proof runs an order
+//! twice: only a connection that was never made, a request of which no byte was written, and an engine's own
+//! word count. Its own word is status 429 (it takes no more, RFC 6585) and status 424 with the code that no
+//! state was found. A 503 is no proof: proxies give it after passing a request on. Whatever a reader does has
+//! no effect, which the module knows.
+
+use elderstage::Outcome;
+
+use crate::driver::Stage;
+
+/// What an attempt at an engine showed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// No connection was made; nothing was written.
+    NotConnected,
+    /// The time given ran out before the request was written.
+    NotWritten,
+    /// The time given ran out after the request, or part of it, was written.
+    TimedOut,
+    /// The connection broke after the request, or part of it, was written.
+    Broke,
+    /// The front gave the attempt up because it was told to.
+    Cancelled,
+    /// The engine answered with this status and, in an error body, this code.
+    Status { status: u16, code: Option<String> },
+    /// The answer was not what the protocol has: malformed, or with an error inside the stream.
+    Garbled,
+    /// The reader has read the prompt, and this many tokens of it were kept.
+    Read { cached: u64 },
+    /// The writer's turn has ended in good order.
+    Turn { cached: u64 },
+}
+
+/// Note of [`Outcome::Full`]: there was no state to fetch.
+pub const NO_STATE_NOTE: u64 = 1;
+/// Code of an engine's error that says so.
+pub const NO_STATE_CODE: &str = "kv_state_missing";
+
+/// What it proves, and the note that goes with it.
+pub fn judge(stage: Stage, evidence: &Evidence) -> (Outcome, u64) {
+    match evidence {
+        Evidence::NotConnected => (Outcome::NoConnection, 0),
+        Evidence::NotWritten => (Outcome::NoConnection, 0),
+        Evidence::TimedOut => (Outcome::TimedOut, 0),
+        Evidence::Broke => (Outcome::Broken, 0),
+        Evidence::Cancelled => (Outcome::Cancelled, 0),
+        Evidence::Status { status: 429, .. } => (Outcome::Full, 0),
+        Evidence::Status { status: 424, code }
+            if stage == Stage::Write && code.as_deref() == Some(NO_STATE_CODE) =>
+        {
+            (Outcome::Full, NO_STATE_NOTE)
+        }
+        Evidence::Status { .. } | Evidence::Garbled => (Outcome::Error, 0),
+        // Guards against an engine that answers the other stage's answer: taking it would serve nothing.
+        Evidence::Read { cached } if stage == Stage::Read => (Outcome::Read, *cached),
+        Evidence::Turn { cached } if stage != Stage::Read => (Outcome::Served, *cached),
+        Evidence::Read { .. } | Evidence::Turn { .. } => (Outcome::Error, 0),
+    }
+}
+
+/// How a call to a tool server ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ToolEnd {
+    /// A result, with the bytes of its text; the tool itself may call it an error.
+    Result { bytes: usize },
+    /// Proved not to have run: no connection, or a JSON-RPC error that says that the call was not taken
+    /// (parse error, invalid request, unknown method, invalid parameters).
+    NotRun,
+    /// May have run: time ran out, the connection broke, the answer was garbled, or any other error.
+    Unknown,
+}
+
+/// JSON-RPC 2.0, section 5.1: these are given before a method runs.
+pub fn rpc_error(code: i64) -> ToolEnd {
+    if matches!(code, -32700 | -32602..=-32600) { ToolEnd::NotRun } else { ToolEnd::Unknown }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a proof that is none: a 503 may come from a proxy that has passed the request on.
+    #[test]
+    fn only_a_few_things_prove_that_nothing_ran() {
+        let status = |status, code: Option<&str>| Evidence::Status { status, code: code.map(Into::into) };
+        let ran = |evidence: &Evidence| !judge(Stage::Write, evidence).0.never_ran();
+        assert!(!ran(&Evidence::NotConnected) && !ran(&Evidence::NotWritten) && !ran(&status(429, None)));
+        assert!(!ran(&status(424, Some(NO_STATE_CODE))));
+        for evidence in [
+            status(503, None),
+            status(500, None),
+            status(424, None),
+            status(400, None),
+            Evidence::Broke,
+            Evidence::TimedOut,
+            Evidence::Cancelled,
+            Evidence::Garbled,
+            Evidence::Read { cached: 0 },
+        ] {
+            assert!(ran(&evidence), "{evidence:?}");
+        }
+    }
+
+    #[test]
+    fn a_state_is_missing_only_where_one_was_to_be_fetched() {
+        let missing = Evidence::Status { status: 424, code: Some(NO_STATE_CODE.into()) };
+        assert_eq!(judge(Stage::Write, &missing), (Outcome::Full, NO_STATE_NOTE));
+        assert_eq!(judge(Stage::Whole, &missing), (Outcome::Error, 0));
+    }
+
+    #[test]
+    fn tool_errors_before_the_method_prove_that_it_did_not_run() {
+        assert_eq!(rpc_error(-32601), ToolEnd::NotRun);
+        assert_eq!(rpc_error(-32603), ToolEnd::Unknown);
+        assert_eq!(rpc_error(-32000), ToolEnd::Unknown);
+    }
+}
