--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,78 @@
-fn main() {}
+//! The `elderstage` program.
+
+mod demo;
+mod serve;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use tracing_subscriber::EnvFilter;
+
+/// A router for language-model servers that read prompts and write answers at separate engines.
+#[derive(Parser)]
+#[command(version, about, propagate_version = true)]
+struct Cli {
+    /// Form of the log lines.
+    #[arg(long, global = true, value_enum, default_value_t = LogForm::Text)]
+    log: LogForm,
+    /// Levels by target, such as `info`, `request=debug` or `front=warn,request=trace`.
+    #[arg(long, global = true, default_value = "info,may=warn", value_name = "LEVELS")]
+    log_level: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a front until SIGTERM or SIGINT, which drain it; a second one hastens the end.
+    Serve {
+        /// The configuration.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// Write the address that the front listens on to this file, for port 0.
+        #[arg(long, value_name = "FILE")]
+        addr_file: Option<PathBuf>,
+        /// Seed of the random numbers that break ties; drawn from the clock if not given.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Run stand-in engines, a tool server and one front, and print how to ask it something.
+    Demo {
+        /// Where the front listens.
+        #[arg(long, default_value = "127.0.0.1:7080", value_name = "ADDR")]
+        listen: std::net::SocketAddr,
+    },
+}
+
+fn log(form: LogForm, levels: &str) -> Result<(), String> {
+    let filter = EnvFilter::try_new(levels).map_err(|error| format!("--log-level: {error}"))?;
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let builder = builder.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
+    let done = match form {
+        LogForm::Text => builder.try_init(),
+        LogForm::Json => builder.json().flatten_event(true).try_init(),
+    };
+    done.map_err(|error| error.to_string())
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let done = log(cli.log, &cli.log_level).and_then(|()| match cli.command {
+        Command::Serve { config, addr_file, seed } => serve::serve(&config, addr_file.as_deref(), seed),
+        Command::Demo { listen } => demo::demo(listen),
+    });
+    match done {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("elderstage: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -14,6 +14,6 @@
 mod model;
 mod read;
 
-pub use lines::{ConfigError, Errors};
+pub use lines::{ConfigError, Directive, Errors, directives};
 pub use model::*;
-pub use read::{parse, parse_servers};
+pub use read::{number, parse, parse_servers, time};
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -142,7 +142,7 @@
 }
 
 /// `300ms`, `2s`, `500us`, `1m`; the unit is required, since a bare number says too little.
-fn time(text: &str) -> Option<Micros> {
+pub fn time(text: &str) -> Option<Micros> {
     let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
     let unit = match &text[digits.len()..] {
         "us" => 1.0,
@@ -157,7 +157,7 @@
 }
 
 /// `20`, `0.5`, `160k`, `1M`.
-fn number(text: &str) -> Option<f64> {
+pub fn number(text: &str) -> Option<f64> {
     let (digits, unit) = match text.strip_suffix('k') {
         Some(digits) => (digits, 1e3),
         None => text.strip_suffix('M').map_or((text, 1.0), |digits| (digits, 1e6)),
--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -74,8 +74,8 @@
     pub attempts: u32,
     /// The attempt that is out.
     pub out: Option<(ServerId, crate::driver::Stage)>,
-    /// The reader whose state waits.
-    pub state: Option<ServerId>,
+    /// The reader whose state waits, and the attempt that read it.
+    pub state: Option<(ServerId, u32)>,
     pub streaming: bool,
     /// A writer may have begun it.
     pub may_have_run: bool,
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -103,6 +103,8 @@
     },
     /// Take nothing new from now on.
     Drain,
+    /// The time for the drain is up: end what is left.
+    Stop,
 }
 
 /// One thing that the front is to do.
@@ -123,13 +125,14 @@
     /// Stop waiting for an attempt; its end is still to be told.
     Cancel {
         chain: ChainId,
-        leg: ReqId,
+        turn: u32,
         attempt: u32,
     },
-    /// Tell a reader to let go of a leg's state.
+    /// Tell a reader to let go of the state of this attempt, read or still being read.
     Release {
         chain: ChainId,
         turn: u32,
+        attempt: u32,
         server: ServerId,
     },
     Probe {
@@ -145,6 +148,7 @@
     },
     CancelTool {
         chain: ChainId,
+        turn: u32,
         call: usize,
     },
     /// The one final answer.
@@ -271,6 +275,14 @@
                 }
             }
             Event::Drain => self.draining = true,
+            Event::Stop => {
+                self.draining = true;
+                let mut left: Vec<ChainId> = self.chains.keys().copied().collect();
+                left.sort_unstable();
+                for chain in left {
+                    self.end_chain(now, chain, Reason::Draining, out);
+                }
+            }
         }
     }
 
@@ -299,7 +311,11 @@
         let shared_bytes = submit.prefix.as_ref().map_or(0, |(_, bytes)| *bytes);
         let key = |text: String| TextKey(text.into());
         let prefix = submit.prefix.map(|(name, _)| key(name));
-        self.asks.insert(chain, (submit.session.map(key), prefix, submit.tenant));
+        // Without a session of its own, a request that may come back with a tool's result is one session: its next
+        // leg is then read where its first was kept.
+        let tools = !self.plan.routes[submit.route].tools.is_empty();
+        let session = submit.session.or_else(|| tools.then(|| format!("request {}", chain.0)));
+        self.asks.insert(chain, (session.map(key), prefix, submit.tenant));
         let state = Chain {
             route: submit.route,
             class,
@@ -392,10 +408,10 @@
             state.may_have_run = true;
         }
         if outcome == Outcome::Read {
-            state.state = Some(server.clone());
+            state.state = Some((server.clone(), attempt));
         } else if stage == Stage::Read && !outcome.never_ran() {
             // Whether the reader keeps a state is not known then: guards against one left pinned there.
-            out.push(Effect::Release { chain: id, turn, server: server.clone() });
+            out.push(Effect::Release { chain: id, turn, attempt, server: server.clone() });
             self.counters.releases += 1;
         }
         if let Some((prompt, answer)) = usage {
@@ -543,7 +559,9 @@
                 // forgotten the leg already when the word was its own.
                 self.tell(now, Told::ClientGone { id: leg }, out);
             }
-            Phase::Tool(tool) => out.push(Effect::CancelTool { chain: id, call: tool.call }),
+            Phase::Tool(tool) => {
+                out.push(Effect::CancelTool { chain: id, turn: chain.legs, call: tool.call });
+            }
         }
         self.forget(id, out);
     }
@@ -586,17 +604,20 @@
             }
             Action::Send { id, server, timeout } => self.send(id, server, timeout, out),
             Action::Cancel { id, attempt } => {
-                if let Some(chain) = self.legs.get(&id).copied() {
-                    out.push(Effect::Cancel { chain, leg: id, attempt });
+                if let Some((chain, state)) = self.leg_chain(id) {
+                    out.push(Effect::Cancel { chain, turn: state.legs, attempt });
                 }
             }
             Action::Release { id } => {
                 let Some(chain_id) = self.legs.get(&id).copied() else { return };
                 let Some(chain) = self.chains.get_mut(&chain_id) else { return };
                 let Phase::Leg(leg) = &mut chain.phase else { return };
-                if let Some(server) = leg.state.take().filter(|_| leg.id == id) {
+                if leg.id != id {
+                    return;
+                }
+                if let Some((server, attempt)) = leg.state.take() {
                     self.counters.releases += 1;
-                    out.push(Effect::Release { chain: chain_id, turn: chain.legs, server });
+                    out.push(Effect::Release { chain: chain_id, turn: chain.legs, attempt, server });
                 }
             }
             Action::Refuse { id, retry_after } => {
--- /dev/null
+++ b/crates/front/src/engines.rs
@@ -0,0 +1,214 @@
+//! One attempt at an engine: connect or reuse, send, read the answer, and say what was seen.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use elderstage_core::Stage;
+use elderstage_core::evidence::Evidence;
+use elderstage_net::{Conn, Endpoint, NetError, open, send};
+use elderstage_protocol::engine::{self, Finish, ToolCall, Usage};
+use elderstage_protocol::{http, orca, sse};
+use serde_json::Value;
+
+use crate::Shared;
+use crate::slot::{Key, Slot};
+
+/// What is to be sent, and where.
+pub(crate) struct Attempt<'a> {
+    /// None where no list has named the server.
+    pub addr: Option<SocketAddr>,
+    pub stage: Stage,
+    pub key: Key,
+    pub rid: String,
+    /// Names the request to engines that drop repeats.
+    pub idempotency: Option<String>,
+    pub timeout: Duration,
+    pub body: Vec<u8>,
+    pub slot: &'a Slot,
+}
+
+/// How it went.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    pub evidence: Evidence,
+    pub usage: Option<Usage>,
+    pub report: Option<orca::Report>,
+    /// Parameters for the writer, from a reader.
+    pub state: Option<Value>,
+    pub calls: Vec<ToolCall>,
+}
+
+impl Ended {
+    fn with(evidence: Evidence) -> Ended {
+        Ended { evidence, usage: None, report: None, state: None, calls: Vec::new() }
+    }
+}
+
+/// What a stream gives while it runs: `first` once, then each piece of text. `false` stops nothing: the stream is
+/// read on until it ends or is cancelled.
+pub(crate) trait Sink {
+    fn first(&mut self);
+    fn text(&mut self, text: &str);
+}
+
+/// Makes the attempt.
+pub(crate) fn attempt(shared: &Shared, attempt: &Attempt<'_>, sink: &mut dyn Sink) -> Ended {
+    let (key, slot) = (attempt.key, attempt.slot);
+    if !slot.begin(key) {
+        slot.end(key);
+        return Ended::with(Evidence::Cancelled);
+    }
+    let mut ended = run(shared, attempt, sink);
+    if slot.end(key) && !matches!(ended.evidence, Evidence::Read { .. } | Evidence::Turn { .. }) {
+        ended.evidence = Evidence::Cancelled;
+    }
+    ended
+}
+
+fn run(shared: &Shared, attempt: &Attempt<'_>, sink: &mut dyn Sink) -> Ended {
+    let end = Instant::now() + attempt.timeout;
+    let Some(addr) = attempt.addr else { return Ended::with(Evidence::NotConnected) };
+    let mut conn = match shared.pool.take(addr) {
+        Some(conn) => conn,
+        None => {
+            let time = Duration::from_micros(shared.config.rules.connect).min(attempt.timeout);
+            match open(addr, time) {
+                Ok(conn) => conn,
+                Err(_) => return Ended::with(Evidence::NotConnected),
+            }
+        }
+    };
+    if !attempt.slot.connected(attempt.key, conn.socket()) {
+        return Ended::with(Evidence::Cancelled);
+    }
+    if Instant::now() >= end {
+        return Ended::with(Evidence::NotWritten);
+    }
+    conn.set_deadline(Some(end));
+    conn.set_write_timeout(Some(end.saturating_duration_since(Instant::now())));
+    let to = Endpoint { addr, path: engine::COMPLETIONS.into() };
+    let mut headers = vec![
+        ("content-type", "application/json"),
+        ("x-request-id", attempt.rid.as_str()),
+        ("via", shared.site.via.as_str()),
+        orca::ASK,
+    ];
+    if let Some(key) = &attempt.idempotency {
+        headers.push(("idempotency-key", key.as_str()));
+    }
+    if let Err(error) = send(&mut conn, "POST", &to, &headers, &attempt.body) {
+        return Ended::with(seen(&error));
+    }
+    let head = match conn.response() {
+        Ok(head) => head,
+        Err(error) => return Ended::with(seen(&error)),
+    };
+    let report = head.headers.get(orca::HEADER).and_then(orca::parse);
+    let streams = head.headers.get("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
+    let mut ended = if head.status == 200 && streams && attempt.stage != Stage::Read {
+        stream(shared, &mut conn, &head, sink)
+    } else {
+        whole(&mut conn, &head, attempt.stage)
+    };
+    ended.report = report;
+    // A connection is used again only after an answer that has ended in good order.
+    if head.keep_alive && !matches!(ended.evidence, Evidence::Garbled | Evidence::Broke | Evidence::TimedOut)
+    {
+        shared.pool.put(addr, conn);
+    }
+    ended
+}
+
+fn seen(error: &NetError) -> Evidence {
+    match error {
+        NetError::TimedOut => Evidence::TimedOut,
+        NetError::Closed | NetError::Io(_) => Evidence::Broke,
+        NetError::Http(_) => Evidence::Garbled,
+    }
+}
+
+fn whole(conn: &mut Conn, head: &http::Response, stage: Stage) -> Ended {
+    let body = match conn.body(head.framing) {
+        Ok(body) => body,
+        Err(error) => return Ended::with(seen(&error)),
+    };
+    if head.status != 200 {
+        return Ended::with(Evidence::Status { status: head.status, code: engine::error_code(&body) });
+    }
+    match engine::read_answer(&body) {
+        Some((usage, state)) if stage == Stage::Read => Ended {
+            usage: Some(usage),
+            state: Some(state),
+            ..Ended::with(Evidence::Read { cached: usage.cached })
+        },
+        _ => Ended::with(Evidence::Garbled),
+    }
+}
+
+fn stream(shared: &Shared, conn: &mut Conn, head: &http::Response, sink: &mut dyn Sink) -> Ended {
+    let (mut body, mut parser) = (http::Body::new(head.framing), sse::Parser::default());
+    let (mut bytes, mut events) = (Vec::new(), Vec::new());
+    let mut calls = engine::Calls::default();
+    let (mut begun, mut finish, mut usage) = (false, None, None);
+    loop {
+        bytes.clear();
+        match conn.body_piece(&mut body, &mut bytes) {
+            // The stream has ended without its last event.
+            Ok(false) => return Ended::with(Evidence::Broke),
+            Ok(true) => {}
+            Err(error) => return Ended::with(seen(&error)),
+        }
+        let parsed = parser.push(&bytes, &mut events);
+        // What came in one read goes on in one piece.
+        let mut text = String::new();
+        let mut done = false;
+        for event in events.drain(..) {
+            if event.data == engine::DONE {
+                done = true;
+                break;
+            }
+            let Ok(chunk) = engine::chunk(&event.data) else { return Ended::with(Evidence::Garbled) };
+            if chunk.error.is_some() {
+                return Ended::with(Evidence::Garbled);
+            }
+            let news = !chunk.text.is_empty() || !chunk.calls.is_empty();
+            if news && !begun {
+                begun = true;
+                // From here on the client's patience for a first token no longer runs; a stream in which nothing
+                // moves is broken.
+                conn.set_deadline(None);
+                conn.set_read_timeout(Some(Duration::from_micros(shared.config.front.stall)));
+                sink.first();
+            }
+            text.push_str(&chunk.text);
+            for piece in chunk.calls {
+                if !calls.push(piece) || calls.bytes() > shared.config.front.body {
+                    return Ended::with(Evidence::Garbled);
+                }
+            }
+            finish = chunk.finish.or(finish);
+            usage = chunk.usage.or(usage);
+        }
+        if !text.is_empty() {
+            sink.text(&text);
+        }
+        if parsed.is_err() {
+            return Ended::with(Evidence::Garbled);
+        }
+        if done {
+            // The end of the body follows; without it the connection is not used again.
+            let rest = conn.body_piece(&mut body, &mut bytes);
+            let calls = calls.take();
+            let fits = match finish {
+                None => false,
+                Some(Finish::ToolCalls) => !calls.is_empty(),
+                Some(_) => calls.is_empty(),
+            };
+            if !begun || !fits || !matches!(rest, Ok(false)) {
+                return Ended::with(Evidence::Garbled);
+            }
+            let cached = usage.map_or(0, |usage| usage.cached);
+            return Ended { usage, calls, ..Ended::with(Evidence::Turn { cached }) };
+        }
+    }
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use elderstage_protocol::http::{self, Body};
+use elderstage_protocol::http;
 use may::net::TcpStream;
 
 use crate::conn::{Conn, LEAST_WAIT, NetError};
@@ -22,12 +22,6 @@
     pub body: Vec<u8>,
 }
 
-/// An answer whose body is still to come.
-pub struct Reply {
-    pub head: http::Response,
-    pub body: Body,
-}
-
 /// Opens a connection; no longer than `time`.
 pub fn open(addr: SocketAddr, time: Duration) -> Result<Conn, NetError> {
     let stream = TcpStream::connect_timeout(&addr, time.max(LEAST_WAIT))?;
@@ -48,10 +42,11 @@
     conn.write(&out)
 }
 
-/// Reads the rest of an answer.
-pub fn read_body(conn: &mut Conn, reply: Reply) -> Result<Answer, NetError> {
-    let body = conn.body(reply.body.framing())?;
-    Ok(Answer { head: reply.head, body })
+/// Reads an answer whole.
+pub fn receive(conn: &mut Conn) -> Result<Answer, NetError> {
+    let head = conn.response()?;
+    let body = conn.body(head.framing)?;
+    Ok(Answer { head, body })
 }
 
 /// One request on a connection of its own, answered whole within `time`.
@@ -65,10 +60,7 @@
     let end = Instant::now() + time;
     let mut conn = open(to.addr, time)?;
     conn.set_write_timeout(Some(time));
+    conn.set_deadline(Some(end));
     send(&mut conn, method, to, headers, body)?;
-    conn.set_read_timeout(Some(end.saturating_duration_since(Instant::now())));
-    let head = conn.response()?;
-    let framing = head.framing;
-    conn.set_read_timeout(Some(end.saturating_duration_since(Instant::now())));
-    read_body(&mut conn, Reply { head, body: Body::new(framing) })
+    receive(&mut conn)
 }
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -4,7 +4,7 @@
 use std::net::TcpStream;
 use std::os::fd::{AsRawFd, RawFd};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use elderstage_protocol::http::{self, Body, Framing, HttpError, Limits};
 use may::io::CoIo;
@@ -81,6 +81,7 @@
     io: CoIo<Shared>,
     buffer: Vec<u8>,
     at: usize,
+    deadline: Option<Instant>,
     pub limits: Limits,
 }
 
@@ -90,7 +91,7 @@
         // Small messages that wait for acknowledgement would add up to 40 ms to a token.
         stream.set_nodelay(true)?;
         let io = CoIo::new(Shared(Arc::new(stream))).map_err(|error| NetError::Io(error.into()))?;
-        Ok(Conn { io, buffer: Vec::new(), at: 0, limits: Limits::default() })
+        Ok(Conn { io, buffer: Vec::new(), at: 0, deadline: None, limits: Limits::default() })
     }
 
     pub fn socket(&self) -> Socket {
@@ -104,6 +105,11 @@
         Ok(conn)
     }
 
+    /// All reading ends by then, however many reads it takes; each read alone is bounded by the read timeout.
+    pub fn set_deadline(&mut self, at: Option<Instant>) {
+        self.deadline = at;
+    }
+
     pub fn set_read_timeout(&self, time: Option<Duration>) {
         // Stored beside the descriptor, no call to the system: it cannot fail.
         let _ = self.io.set_read_timeout(time.map(|t| t.max(LEAST_WAIT)));
@@ -135,6 +141,13 @@
             self.buffer.drain(..self.at);
             self.at = 0;
         }
+        if let Some(at) = self.deadline {
+            let left = at.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(NetError::TimedOut);
+            }
+            self.set_read_timeout(Some(left));
+        }
         let old = self.buffer.len();
         self.buffer.resize(old + READ, 0);
         let read = self.io.read(&mut self.buffer[old..]);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod owner;
 mod spawn;
 
-pub use client::{Answer, Endpoint, Reply, exchange, open, read_body, send};
+pub use client::{Answer, Endpoint, exchange, open, receive, send};
 pub use conn::{Conn, NetError, Socket};
 pub use listener::{Listener, Stop};
 pub use may::coroutine::sleep;
