--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,3 +3,4 @@
 //! - [`fleet`]: engines and a tool server on loopback, and the configuration that fronts take for them.
 
 pub mod fleet;
+pub mod rules;
