--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -16,7 +16,7 @@
         std::fs::write(dir.join(name), text).map_err(|error| format!("{name}: {error}"))
     };
     let text = fleet.config(&format!("    listen {listen}\n    zone a"), "servers.conf");
-    write("servers.conf", fleet.servers())?;
+    write("servers.conf", fleet.servers(&fleet.listed))?;
     write("front.conf", text.clone())?;
     let config = elderstage_config::parse("front.conf", &text).map_err(|errors| errors.to_string())?;
     let front = Front::start(config, &dir, 1).map_err(|error| error.to_string())?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `elderstage` program.
 
 mod demo;
+mod rehearse;
 mod serve;
 
 use std::path::PathBuf;
@@ -49,6 +50,20 @@
         #[arg(long, default_value = "127.0.0.1:7080", value_name = "ADDR")]
         listen: std::net::SocketAddr,
     },
+    /// Play a scripted day against stand-ins and judge the rules; exit 0 only if all of them held.
+    Rehearse {
+        /// The script, or a folder with a `day.conf`.
+        script: PathBuf,
+        /// Write the result as JSON to this file.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// Keep the files of the run (traffic, configurations, logs) in this folder.
+        #[arg(long, value_name = "DIR")]
+        keep: Option<PathBuf>,
+        /// Play only so many requests, with the script's times shortened in proportion.
+        #[arg(long, value_name = "N")]
+        requests: Option<u64>,
+    },
 }
 
 fn log(form: LogForm, levels: &str) -> Result<(), String> {
@@ -67,6 +82,9 @@
     let done = log(cli.log, &cli.log_level).and_then(|()| match cli.command {
         Command::Serve { config, addr_file, seed } => serve::serve(&config, addr_file.as_deref(), seed),
         Command::Demo { listen } => demo::demo(listen),
+        Command::Rehearse { script, json, keep, requests } => {
+            rehearse::rehearse(&script, json.as_deref(), keep.as_deref(), requests)
+        }
     });
     match done {
         Ok(code) => code,
--- /dev/null
+++ b/crates/cli/src/rehearse.rs
@@ -0,0 +1,46 @@
+//! `elderstage rehearse`: a scripted day, judged.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use elderstage_rehearsal::day;
+use elderstage_rehearsal::play::{Options, play};
+use indicatif::{ProgressBar, ProgressStyle};
+
+pub fn rehearse(
+    script: &Path,
+    json: Option<&Path>,
+    keep: Option<&Path>,
+    requests: Option<u64>,
+) -> Result<ExitCode, String> {
+    let script = if script.is_dir() { script.join("day.conf") } else { script.to_owned() };
+    let text = std::fs::read_to_string(&script).map_err(|error| format!("{}: {error}", script.display()))?;
+    let mut day = day::parse(&script.display().to_string(), &text).map_err(|errors| errors.to_string())?;
+    if let Some(requests) = requests {
+        day.shorten(requests);
+    }
+    let temporary = std::env::temp_dir().join(format!("elderstage-rehearsal-{}", std::process::id()));
+    let dir = keep.unwrap_or(&temporary);
+    std::fs::create_dir_all(dir).map_err(|error| format!("{}: {error}", dir.display()))?;
+    let program = std::env::current_exe().map_err(|error| error.to_string())?;
+    // Hidden by itself where there is no terminal.
+    let bar = ProgressBar::new(day.load.requests);
+    if let Ok(style) = ProgressStyle::with_template("{msg} [{bar:40}] {pos}/{len} {elapsed}") {
+        bar.set_style(style);
+    }
+    bar.set_message(day.name.clone());
+    let options = Options { program: &program, dir, progress: &|begun| bar.set_position(begun) };
+    let report = play(&day, &options).map_err(|error| error.to_string());
+    bar.finish_and_clear();
+    if keep.is_none() {
+        // The folder holds only what this run wrote.
+        let _ = std::fs::remove_dir_all(&temporary);
+    }
+    let report = report?;
+    print!("{report}");
+    if let Some(path) = json {
+        let text = format!("{:#}\n", report.json());
+        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+    }
+    Ok(if report.good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -69,11 +69,11 @@
     }
 
     /// The list of servers as a file.
-    pub fn servers(&self) -> String {
+    pub fn servers(&self, listed: &BTreeMap<String, &'static str>) -> String {
         let mut text = String::new();
         for engine in &self.site.engines {
             let Some(host) = self.hosts.get(&engine.name) else { continue };
-            let state = self.listed.get(&engine.name).copied().unwrap_or("gone");
+            let state = listed.get(&engine.name).copied().unwrap_or("gone");
             // Writing to a string cannot fail.
             let _ = write!(
                 text,
--- a/crates/standin/src/host/serve.rs
+++ b/crates/standin/src/host/serve.rs
@@ -337,7 +337,9 @@
             ..engine::KvParams::default()
         };
         let body = engine::read_body(&self.asked.model, self.usage(1, cached), &kv);
-        let report = report(self.shared, &lock(&self.shared.faults).clone());
+        // Read first: a lock must not be held while the report is waited for.
+        let faults = lock(&self.shared.faults).clone();
+        let report = report(self.shared, &faults);
         let headers = [("content-type", "application/json"), (orca::HEADER, report.as_str())];
         answer(self.conn, 200, &headers, &body)?;
         Ok(Next::Go)
--- a/crates/standin/src/traffic.rs
+++ b/crates/standin/src/traffic.rs
@@ -157,13 +157,13 @@
         Log(None)
     }
 
-    /// Writes to a file, if one is named, and keeps the records if asked to.
-    pub fn start(path: Option<&Path>, keep: bool) -> std::io::Result<(Log, Writer)> {
+    /// Keeps the records, writes them to a file if one is named, and gives each to the tap if there is one.
+    pub fn start(path: Option<&Path>, tap: Option<Sender<Record>>) -> std::io::Result<(Log, Writer)> {
         let file = path.map(std::fs::File::create).transpose()?;
         let (sender, receiver) = unbounded();
         let thread = std::thread::Builder::new()
             .name("traffic".into())
-            .spawn(move || write(&receiver, file.map(BufWriter::new), keep))?;
+            .spawn(move || write(&receiver, file.map(BufWriter::new), tap.as_ref()))?;
         Ok((Log(Some(sender.clone())), Writer { sender, thread }))
     }
 
@@ -189,7 +189,7 @@
 fn write(
     lines: &Receiver<Line>,
     mut file: Option<BufWriter<std::fs::File>>,
-    keep: bool,
+    tap: Option<&Sender<Record>>,
 ) -> std::io::Result<Vec<Record>> {
     let mut kept = Vec::new();
     loop {
@@ -199,9 +199,11 @@
                     serde_json::to_writer(&mut *file, &record)?;
                     file.write_all(b"\n")?;
                 }
-                if keep {
-                    kept.push(*record);
+                if let Some(tap) = tap {
+                    // Whoever tapped may have stopped listening.
+                    let _ = tap.send((*record).clone());
                 }
+                kept.push(*record);
             }
             Err(RecvTimeoutError::Timeout) => {
                 if let Some(file) = &mut file {
