Connections stop being watched before their descriptor is closed: no lost wake-ups

The runtime's wrapper closes a descriptor before it takes it off the watch, and another connection may have got the number meanwhile; its watch was removed then. Connections and listeners now keep a handle that is dropped last.

--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -83,6 +83,10 @@
     at: usize,
     deadline: Option<Instant>,
     pub limits: Limits,
+    /// Closes the descriptor after `io` has stopped watching it (fields are dropped in this order). Guards against
+    /// lost wake-ups: were it closed first, its number could be another connection's by the time it is taken off
+    /// the watch, and that other connection would never hear of its data.
+    _last: Arc<TcpStream>,
 }
 
 impl Conn {
@@ -90,8 +94,9 @@
     pub fn new(stream: TcpStream) -> Result<Conn, NetError> {
         // Small messages that wait for acknowledgement would add up to 40 ms to a token.
         stream.set_nodelay(true)?;
-        let io = CoIo::new(Shared(Arc::new(stream))).map_err(|error| NetError::Io(error.into()))?;
-        Ok(Conn { io, buffer: Vec::new(), at: 0, deadline: None, limits: Limits::default() })
+        let stream = Arc::new(stream);
+        let io = CoIo::new(Shared(stream.clone())).map_err(|error| NetError::Io(error.into()))?;
+        Ok(Conn { _last: stream, io, buffer: Vec::new(), at: 0, deadline: None, limits: Limits::default() })
     }
 
     pub fn socket(&self) -> Socket {
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -18,9 +18,11 @@
 
 /// A listening socket.
 pub struct Listener {
-    io: CoIo<TcpListener>,
+    io: CoIo<Arc<TcpListener>>,
     addr: SocketAddr,
     stop: Arc<AtomicBool>,
+    /// Closed after it is no longer watched, as with connections.
+    _last: Arc<TcpListener>,
 }
 
 /// Ends a listener from outside.
@@ -47,10 +49,10 @@
         socket.set_reuse_address(true)?;
         socket.bind(&addr.into())?;
         socket.listen(BACKLOG)?;
-        let listener: TcpListener = socket.into();
+        let listener: Arc<TcpListener> = Arc::new(socket.into());
         let addr = listener.local_addr()?;
-        let io = CoIo::new(listener).map_err(io::Error::from)?;
-        Ok(Listener { io, addr, stop: Arc::new(AtomicBool::new(false)) })
+        let io = CoIo::new(listener.clone()).map_err(io::Error::from)?;
+        Ok(Listener { io, addr, stop: Arc::new(AtomicBool::new(false)), _last: listener })
     }
 
     pub fn addr(&self) -> SocketAddr {
