Hard cases through real sockets, and a foreign MCP client against the front

What clients, engines and tool servers do at bad moments must be tested where it happens. 13 tests drive a front over loopback: clients that leave during read, hold, hand-over, stream and tool call; a tool that may have run; a cancelled id; two calls on one connection; a client that does not read (send-buffer bounds what is held for it); drains in and out of time; late answers; lists.

--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -107,6 +107,8 @@
     pub idle: Micros,
     /// A client that takes nothing off its connection for this time has left.
     pub stall: Micros,
+    /// Bytes that the system holds for a client that does not read; beyond them its stream waits.
+    pub send_buffer: usize,
     pub head: usize,
     pub body: usize,
     /// Most bytes of one answer.
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -332,6 +332,7 @@
         most_requests: reader.number(s, "most-requests", Some(20_000.0), (1.0, 1e6)) as usize,
         idle: reader.time(s, "idle", Some("60s")),
         stall: reader.time(s, "stall", Some("10s")),
+        send_buffer: reader.number(s, "send-buffer", Some(262_144.0), (4096.0, 1e8)) as usize,
         head: reader.number(s, "head", Some(16_384.0), (1024.0, 1e6)) as usize,
         body: reader.number(s, "body", Some(1_048_576.0), (1024.0, 1e9)) as usize,
         answer: reader.number(s, "answer", Some(1_048_576.0), (1024.0, 1e9)) as usize,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -83,7 +83,8 @@
         init(config.front.workers);
         raise_descriptors();
         let listen = config.front.listen;
-        let listener = Listener::bind(listen).map_err(|error| StartError::Listen { addr: listen, error })?;
+        let listener = Listener::with_send_buffer(listen, Some(config.front.send_buffer))
+            .map_err(|error| StartError::Listen { addr: listen, error })?;
         let addr = listener.addr();
         let clock = Clock::new(ORIGIN);
         let site = Site::new(&config);
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -43,10 +43,19 @@
 
 impl Listener {
     pub fn bind(addr: impl ToSocketAddrs) -> io::Result<Listener> {
+        Listener::with_send_buffer(addr, None)
+    }
+
+    /// Bounds what the system holds of answers that a peer does not read, in bytes for each connection.
+    pub fn with_send_buffer(addr: impl ToSocketAddrs, bytes: Option<usize>) -> io::Result<Listener> {
         let addr = addr.to_socket_addrs()?.next().ok_or(io::ErrorKind::AddrNotAvailable)?;
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
         // A port is taken again at once after a restart, while old connections linger.
         socket.set_reuse_address(true)?;
+        if let Some(bytes) = bytes {
+            // Connections take it over from the listening socket.
+            socket.set_send_buffer_size(bytes)?;
+        }
         socket.bind(&addr.into())?;
         socket.listen(BACKLOG)?;
         let listener: Arc<TcpListener> = Arc::new(socket.into());
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod host;
 pub mod model;
+pub mod peer;
 pub mod script;
 pub mod tool;
 pub mod traffic;
