Time limits on sockets kept by a thread of their own, not by the runtime's timers

The runtime's time limits on input and output remove a timer from one worker's list on another worker's thread when work is stolen. crates/net now keeps one limit a connection in a thread of its own and wakes the coroutine by the runtime's waker, also while connecting.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -236,7 +236,7 @@
         });
         let name = &self.shared.config.front.name;
         let rid = given.map_or_else(|| format!("{name}-{}", chain.0), str::to_owned);
-        let writer = match self.writer.take() {
+        let mut writer = match self.writer.take() {
             Some(writer) => writer,
             None => self.conn.writer()?,
         };
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,9 +4,12 @@
 use std::time::{Duration, Instant};
 
 use elderstage_protocol::http;
-use may::net::TcpStream;
+use socket2::{Domain, Socket, Type};
 
-use crate::conn::{Conn, LEAST_WAIT, NetError};
+use crate::conn::{Conn, NetError};
+
+/// EINPROGRESS on Linux: the connection is being made.
+const IN_PROGRESS: i32 = 115;
 
 /// Where a server is reached, and the path of its service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -24,9 +27,17 @@
 
 /// Opens a connection; no longer than `time`.
 pub fn open(addr: SocketAddr, time: Duration) -> Result<Conn, NetError> {
-    let stream = TcpStream::connect_timeout(&addr, time.max(LEAST_WAIT))?;
-    // The descriptor is taken over by way of a copy: the runtime's own stream cannot be shut from outside.
-    Conn::new(stream.inner().try_clone()?)
+    let until = Instant::now() + time;
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&addr.into()) {
+        Ok(()) => {}
+        Err(error) if error.raw_os_error() == Some(IN_PROGRESS) => {}
+        Err(error) => return Err(error.into()),
+    }
+    let conn = Conn::new(socket.into())?;
+    conn.connected(until)?;
+    Ok(conn)
 }
 
 /// Writes a request.
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -2,18 +2,19 @@
 
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
-use std::os::fd::{AsRawFd, RawFd};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use elderstage_protocol::http::{self, Body, Framing, HttpError, Limits};
-use may::io::CoIo;
+use may::io::{CoIo, WaitIo};
 use thiserror::Error;
 
+use crate::watch::Watch;
+
 /// Bytes asked of the system in one read.
 const READ: usize = 8 << 10;
-/// A wait of zero would mean for ever.
-pub(crate) const LEAST_WAIT: Duration = Duration::from_micros(100);
+/// Pause between two looks at a socket by a thread that is no coroutine.
+const THREAD_WAIT: Duration = Duration::from_micros(300);
 
 /// How reading or writing failed.
 #[derive(Debug, Error)]
@@ -38,32 +39,6 @@
     }
 }
 
-/// A descriptor that a coroutine reads and writes while others may shut it.
-#[derive(Clone)]
-struct Shared(Arc<TcpStream>);
-
-impl AsRawFd for Shared {
-    fn as_raw_fd(&self) -> RawFd {
-        self.0.as_raw_fd()
-    }
-}
-
-impl Read for Shared {
-    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        (&*self.0).read(buffer)
-    }
-}
-
-impl Write for Shared {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        (&*self.0).write(bytes)
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// A handle on a connection that another coroutine or thread uses: shutting it ends its reads and writes.
 #[derive(Clone)]
 pub struct Socket(Arc<TcpStream>);
@@ -78,10 +53,13 @@
 
 /// A connection with what has been read and not used yet.
 pub struct Conn {
-    io: CoIo<Shared>,
+    io: CoIo<Arc<TcpStream>>,
     buffer: Vec<u8>,
     at: usize,
     deadline: Option<Instant>,
+    read_timeout: Option<Duration>,
+    write_timeout: Option<Duration>,
+    watch: Arc<Watch>,
     pub limits: Limits,
     /// Closes the descriptor after `io` has stopped watching it (fields are dropped in this order). Guards against
     /// lost wake-ups: were it closed first, its number could be another connection's by the time it is taken off
@@ -95,17 +73,41 @@
         // Small messages that wait for acknowledgement would add up to 40 ms to a token.
         stream.set_nodelay(true)?;
         let stream = Arc::new(stream);
-        let io = CoIo::new(Shared(stream.clone())).map_err(|error| NetError::Io(error.into()))?;
-        Ok(Conn { _last: stream, io, buffer: Vec::new(), at: 0, deadline: None, limits: Limits::default() })
+        let io = CoIo::new(stream.clone()).map_err(|error| NetError::Io(error.into()))?;
+        Ok(Conn {
+            watch: Watch::new(io.waker()),
+            io,
+            buffer: Vec::new(),
+            at: 0,
+            deadline: None,
+            read_timeout: None,
+            write_timeout: None,
+            limits: Limits::default(),
+            _last: stream,
+        })
     }
 
     pub fn socket(&self) -> Socket {
-        Socket(self.io.inner().0.clone())
+        Socket(self.io.inner().clone())
+    }
+
+    /// Waits for a connection that is being made.
+    pub(crate) fn connected(&self, until: Instant) -> Result<(), NetError> {
+        loop {
+            if let Some(error) = self.io.inner().take_error()? {
+                return Err(error.into());
+            }
+            match self.io.inner().peer_addr() {
+                Ok(_) => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::NotConnected => self.wait(Some(until))?,
+                Err(error) => return Err(error.into()),
+            }
+        }
     }
 
     /// A second handle for writing from another coroutine; takes a descriptor of its own.
     pub fn writer(&self) -> Result<Conn, NetError> {
-        let mut conn = Conn::new(self.io.inner().0.try_clone()?)?;
+        let mut conn = Conn::new(self.io.inner().try_clone()?)?;
         conn.limits = self.limits;
         Ok(conn)
     }
@@ -115,13 +117,40 @@
         self.deadline = at;
     }
 
-    pub fn set_read_timeout(&self, time: Option<Duration>) {
-        // Stored beside the descriptor, no call to the system: it cannot fail.
-        let _ = self.io.set_read_timeout(time.map(|t| t.max(LEAST_WAIT)));
+    pub fn set_read_timeout(&mut self, time: Option<Duration>) {
+        self.read_timeout = time;
     }
 
-    pub fn set_write_timeout(&self, time: Option<Duration>) {
-        let _ = self.io.set_write_timeout(time.map(|t| t.max(LEAST_WAIT)));
+    pub fn set_write_timeout(&mut self, time: Option<Duration>) {
+        self.write_timeout = time;
+    }
+
+    /// Waits until something can be done with the socket, or `until`.
+    fn wait(&self, until: Option<Instant>) -> Result<(), NetError> {
+        if until.is_some_and(|until| Instant::now() >= until) {
+            return Err(NetError::TimedOut);
+        }
+        if may::coroutine::is_coroutine() {
+            self.watch.set(until);
+            self.io.wait_io();
+        } else {
+            // Threads wait in tests and at the edges of a rehearsal only.
+            std::thread::sleep(THREAD_WAIT);
+        }
+        Ok(())
+    }
+
+    fn read(&mut self, into: usize) -> Result<usize, NetError> {
+        let timeout = self.read_timeout.map(|time| Instant::now() + time);
+        let until = [self.deadline, timeout].into_iter().flatten().min();
+        loop {
+            match (&**self.io.inner()).read(&mut self.buffer[into..]) {
+                Ok(n) => return Ok(n),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.wait(until)?,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
     }
 
     fn pending(&self) -> &[u8] {
@@ -136,7 +165,7 @@
     /// Whether an idle connection is still good for a request: open, and nothing unasked has come on it.
     pub fn is_idle(&self) -> bool {
         let mut byte = [0];
-        let peeked = self.io.inner().0.peek(&mut byte);
+        let peeked = self.io.inner().peek(&mut byte);
         !self.has_pending() && matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -146,16 +175,9 @@
             self.buffer.drain(..self.at);
             self.at = 0;
         }
-        if let Some(at) = self.deadline {
-            let left = at.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Err(NetError::TimedOut);
-            }
-            self.set_read_timeout(Some(left));
-        }
         let old = self.buffer.len();
         self.buffer.resize(old + READ, 0);
-        let read = self.io.read(&mut self.buffer[old..]);
+        let read = self.read(old);
         self.buffer.truncate(old + *read.as_ref().unwrap_or(&0));
         if read? == 0 {
             return Err(NetError::Closed);
@@ -164,7 +186,26 @@
     }
 
     pub fn write(&mut self, bytes: &[u8]) -> Result<(), NetError> {
-        Ok(self.io.write_all(bytes)?)
+        let mut rest = bytes;
+        // The limit is on standing still: each piece that the peer takes begins it anew.
+        let mut until = None;
+        while !rest.is_empty() {
+            match (&**self.io.inner()).write(rest) {
+                Ok(0) => return Err(NetError::Closed),
+                Ok(n) => {
+                    rest = &rest[n..];
+                    until = None;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    let timeout = self.write_timeout.map(|time| Instant::now() + time);
+                    until = until.or(timeout);
+                    self.wait(until)?;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Ok(())
     }
 
     /// The next request's head. `Closed` where the peer ended in good order before a first byte.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 mod listener;
 pub mod owner;
 mod spawn;
+mod watch;
 
 pub use client::{Answer, Endpoint, exchange, open, receive, send};
 pub use conn::{Conn, NetError, Socket};
--- /dev/null
+++ b/crates/net/src/watch.rs
@@ -0,0 +1,135 @@
+//! Time limits on waiting for a socket.
+//!
+//! The runtime's own time limits on input and output are not used: it takes their timers out of one worker's list
+//! from another worker's thread, which corrupts memory when work is stolen at the wrong moment (seen as an abort of
+//! the allocator in a rehearsal). Here one thread keeps the times and wakes a waiting coroutine through the
+//! runtime's waker, which is safe from any thread; the coroutine looks at the clock itself.
+//!
+//! A connection stands in the list once for as long as it has a limit, however often the limit moves.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError, Weak};
+use std::time::{Duration, Instant};
+
+use may::io::WaitIoWaker;
+
+/// No limit.
+const NEVER: u64 = u64::MAX;
+
+/// The limit of one connection.
+pub(crate) struct Watch {
+    waker: WaitIoWaker,
+    /// Microseconds since the process's first watch.
+    until: AtomicU64,
+    /// Time of its earliest place in the list.
+    listed: AtomicU64,
+}
+
+type Place = Reverse<(u64, usize)>;
+
+#[derive(Default)]
+struct List {
+    heap: BinaryHeap<Place>,
+    watches: std::collections::HashMap<usize, Weak<Watch>>,
+    next: usize,
+}
+
+struct Keeper {
+    start: Instant,
+    list: Mutex<List>,
+    sooner: Condvar,
+}
+
+fn keeper() -> &'static Keeper {
+    static KEEPER: OnceLock<&'static Keeper> = OnceLock::new();
+    KEEPER.get_or_init(|| {
+        let keeper: &'static Keeper = Box::leak(Box::new(Keeper {
+            start: Instant::now(),
+            list: Mutex::default(),
+            sooner: Condvar::new(),
+        }));
+        // Without the thread no limit would ever act; there is nothing sensible to go on with.
+        let spawned = std::thread::Builder::new().name("limits".into()).spawn(|| keeper.run());
+        if let Err(error) = spawned {
+            panic!("cannot start the thread that keeps time limits: {error}");
+        }
+        keeper
+    })
+}
+
+impl Keeper {
+    fn micros(&self, at: Instant) -> u64 {
+        u64::try_from(at.saturating_duration_since(self.start).as_micros()).unwrap_or(NEVER - 1)
+    }
+
+    fn add(&self, at: u64, watch: &Arc<Watch>) {
+        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = list.next;
+        list.next += 1;
+        list.watches.insert(key, Arc::downgrade(watch));
+        let first = list.heap.peek().is_none_or(|Reverse((first, _))| at < *first);
+        list.heap.push(Reverse((at, key)));
+        drop(list);
+        if first {
+            self.sooner.notify_one();
+        }
+    }
+
+    fn run(&self) {
+        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        loop {
+            let now = self.micros(Instant::now());
+            match list.heap.peek() {
+                None => list = self.sooner.wait(list).unwrap_or_else(PoisonError::into_inner),
+                Some(Reverse((at, _))) if *at > now => {
+                    let left = Duration::from_micros(at - now);
+                    list = self.sooner.wait_timeout(list, left).unwrap_or_else(PoisonError::into_inner).0;
+                }
+                Some(_) => {
+                    let Some(Reverse((at, key))) = list.heap.pop() else { continue };
+                    let Some(watch) = list.watches.get(&key).and_then(Weak::upgrade) else {
+                        list.watches.remove(&key);
+                        continue;
+                    };
+                    // Only the place that the watch counts on goes on; an older one is dropped.
+                    let until = watch.until.load(Ordering::SeqCst);
+                    if watch.listed.load(Ordering::SeqCst) != at || until == NEVER {
+                        let _ = watch.listed.compare_exchange(at, NEVER, Ordering::SeqCst, Ordering::SeqCst);
+                        list.watches.remove(&key);
+                    } else if until > now {
+                        watch.listed.store(until, Ordering::SeqCst);
+                        list.heap.push(Reverse((until, key)));
+                    } else {
+                        watch.listed.store(NEVER, Ordering::SeqCst);
+                        list.watches.remove(&key);
+                        watch.waker.wakeup();
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Watch {
+    pub fn new(waker: WaitIoWaker) -> Arc<Watch> {
+        Arc::new(Watch { waker, until: AtomicU64::new(NEVER), listed: AtomicU64::new(NEVER) })
+    }
+
+    /// Sets the limit. Whoever waits is woken at that time or a little after.
+    pub fn set(self: &Arc<Self>, at: Option<Instant>) {
+        let Some(at) = at else {
+            self.until.store(NEVER, Ordering::SeqCst);
+            return;
+        };
+        let keeper = keeper();
+        // One tick late rather than early: the waiter looks at the clock when it is woken.
+        let at = keeper.micros(at) + 1;
+        self.until.store(at, Ordering::SeqCst);
+        if at < self.listed.load(Ordering::SeqCst) {
+            self.listed.store(at, Ordering::SeqCst);
+            keeper.add(at, self);
+        }
+    }
+}
