Measurements of the front against baselines, and a leaner path for streamed tokens

What the front costs must be known against a baseline in one run: elderstage measure first-token, streams, open and decisions.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `elderstage` program.
 
 mod demo;
+mod measure;
 mod rehearse;
 mod serve;
 
@@ -50,6 +51,11 @@
         #[arg(long, default_value = "127.0.0.1:7080", value_name = "ADDR")]
         listen: std::net::SocketAddr,
     },
+    /// Measure the front against a baseline in the same run, on stand-ins.
+    Measure {
+        #[command(subcommand)]
+        what: measure::What,
+    },
     /// Play a scripted day against stand-ins and judge the rules; exit 0 only if all of them held.
     Rehearse {
         /// The script, or a folder with a `day.conf`.
@@ -82,6 +88,7 @@
     let done = log(cli.log, &cli.log_level).and_then(|()| match cli.command {
         Command::Serve { config, addr_file, seed } => serve::serve(&config, addr_file.as_deref(), seed),
         Command::Demo { listen } => demo::demo(listen),
+        Command::Measure { what } => measure::measure(&what),
         Command::Rehearse { script, json, keep, requests } => {
             rehearse::rehearse(&script, json.as_deref(), keep.as_deref(), requests)
         }
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -145,11 +145,46 @@
     }
 }
 
+/// What a stream has said so far.
+#[derive(Default)]
+struct Said {
+    calls: engine::Calls,
+    begun: bool,
+    done: bool,
+    garbled: bool,
+    finish: Option<Finish>,
+    usage: Option<Usage>,
+}
+
+impl Said {
+    /// Takes one event; its text goes to `text`.
+    fn event(&mut self, data: &str, text: &mut String, most: usize) {
+        if self.done || self.garbled || engine::text_only(data, text) {
+            return;
+        }
+        if data == engine::DONE {
+            self.done = true;
+            return;
+        }
+        match engine::chunk(data) {
+            Ok(chunk) if chunk.error.is_none() => {
+                text.push_str(&chunk.text);
+                for piece in chunk.calls {
+                    self.garbled |= !self.calls.push(piece) || self.calls.bytes() > most;
+                }
+                self.finish = chunk.finish.or(self.finish);
+                self.usage = chunk.usage.or(self.usage);
+            }
+            _ => self.garbled = true,
+        }
+    }
+}
+
 fn stream(shared: &Shared, conn: &mut Conn, head: &http::Response, sink: &mut dyn Sink) -> Ended {
     let (mut body, mut parser) = (http::Body::new(head.framing), sse::Parser::default());
-    let (mut bytes, mut events) = (Vec::new(), Vec::new());
-    let mut calls = engine::Calls::default();
-    let (mut begun, mut finish, mut usage) = (false, None, None);
+    let (mut bytes, mut text) = (Vec::new(), String::new());
+    let mut said = Said::default();
+    let most = shared.config.front.body;
     loop {
         bytes.clear();
         match conn.body_piece(&mut body, &mut bytes) {
@@ -158,57 +193,37 @@
             Ok(true) => {}
             Err(error) => return Ended::with(seen(&error)),
         }
-        let parsed = parser.push(&bytes, &mut events);
         // What came in one read goes on in one piece.
-        let mut text = String::new();
-        let mut done = false;
-        for event in events.drain(..) {
-            if event.data == engine::DONE {
-                done = true;
-                break;
-            }
-            let Ok(chunk) = engine::chunk(&event.data) else { return Ended::with(Evidence::Garbled) };
-            if chunk.error.is_some() {
-                return Ended::with(Evidence::Garbled);
-            }
-            let news = !chunk.text.is_empty() || !chunk.calls.is_empty();
-            if news && !begun {
-                begun = true;
-                // From here on the client's patience for a first token no longer runs; a stream in which nothing
-                // moves is broken.
-                conn.set_deadline(None);
-                conn.set_read_timeout(Some(Duration::from_micros(shared.config.front.stall)));
-                sink.first();
-            }
-            text.push_str(&chunk.text);
-            for piece in chunk.calls {
-                if !calls.push(piece) || calls.bytes() > shared.config.front.body {
-                    return Ended::with(Evidence::Garbled);
-                }
-            }
-            finish = chunk.finish.or(finish);
-            usage = chunk.usage.or(usage);
+        text.clear();
+        let parsed = parser.each(&bytes, &mut |event| said.event(&event.data, &mut text, most));
+        if !said.begun && (!text.is_empty() || said.calls.begun()) {
+            said.begun = true;
+            // From here on the client's patience for a first token no longer runs; a stream in which nothing
+            // moves is broken.
+            conn.set_deadline(None);
+            conn.set_read_timeout(Some(Duration::from_micros(shared.config.front.stall)));
+            sink.first();
         }
         if !text.is_empty() {
             sink.text(&text);
         }
-        if parsed.is_err() {
+        if parsed.is_err() || said.garbled {
             return Ended::with(Evidence::Garbled);
         }
-        if done {
+        if said.done {
             // The end of the body follows; without it the connection is not used again.
             let rest = conn.body_piece(&mut body, &mut bytes);
-            let calls = calls.take();
-            let fits = match finish {
+            let calls = said.calls.take();
+            let fits = match said.finish {
                 None => false,
                 Some(Finish::ToolCalls) => !calls.is_empty(),
                 Some(_) => calls.is_empty(),
             };
-            if !begun || !fits || !matches!(rest, Ok(false)) {
+            if !said.begun || !fits || !matches!(rest, Ok(false)) {
                 return Ended::with(Evidence::Garbled);
             }
-            let cached = usage.map_or(0, |usage| usage.cached);
-            return Ended { usage, calls, ..Ended::with(Evidence::Turn { cached }) };
+            let cached = said.usage.map_or(0, |usage| usage.cached);
+            return Ended { usage: said.usage, calls, ..Ended::with(Evidence::Turn { cached }) };
         }
     }
 }
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -162,6 +162,14 @@
         !self.pending().is_empty()
     }
 
+    /// Takes what has come and was not used yet.
+    pub fn take_pending(&mut self) -> Vec<u8> {
+        let bytes = self.buffer.split_off(self.at);
+        self.buffer.clear();
+        self.at = 0;
+        bytes
+    }
+
     /// Whether an idle connection is still good for a request: open, and nothing unasked has come on it.
     pub fn is_idle(&self) -> bool {
         let mut byte = [0];
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -1,6 +1,7 @@
 //! The engines' API: OpenAI-style chat completions, streamed, with the `kv_transfer_params` by which a
 //! reader's state is handed to a writer.
 
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::borrow::Cow;
@@ -266,6 +267,49 @@
     arguments: Option<String>,
 }
 
+/// The usual event of a stream, which has text and nothing else.
+#[derive(Deserialize)]
+struct TextChunk<'a> {
+    // A tuple of one reads an array of one without a place of its own for it.
+    #[serde(borrow)]
+    choices: (TextChoice<'a>,),
+    #[serde(default)]
+    usage: Option<IgnoredAny>,
+    #[serde(default)]
+    error: Option<IgnoredAny>,
+}
+
+#[derive(Deserialize)]
+struct TextChoice<'a> {
+    #[serde(borrow)]
+    delta: TextDelta<'a>,
+    #[serde(default)]
+    finish_reason: Option<IgnoredAny>,
+}
+
+#[derive(Deserialize)]
+struct TextDelta<'a> {
+    #[serde(borrow)]
+    content: Cow<'a, str>,
+    #[serde(default)]
+    tool_calls: Option<IgnoredAny>,
+}
+
+/// Adds the text of a usual event to `out`; `false` for any other, which [`chunk`] reads.
+pub fn text_only(data: &str, out: &mut String) -> bool {
+    match serde_json::from_str::<TextChunk<'_>>(data) {
+        Ok(TextChunk {
+            choices: (TextChoice { delta: TextDelta { content, tool_calls: None }, finish_reason: None },),
+            usage: None,
+            error: None,
+        }) => {
+            out.push_str(&content);
+            true
+        }
+        _ => false,
+    }
+}
+
 /// Reads the data of one event of a stream.
 pub fn chunk(data: &str) -> Result<Chunk, serde_json::Error> {
     let raw: RawChunk<'_> = serde_json::from_str(data)?;
@@ -347,6 +391,10 @@
         self.0
     }
 
+    pub fn begun(&self) -> bool {
+        !self.0.is_empty()
+    }
+
     pub fn bytes(&self) -> usize {
         self.0.iter().map(|call| call.function.arguments.len()).sum()
     }
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -258,7 +258,7 @@
                 self.chunk = if left == 0 { Chunk::DataEnd } else { Chunk::Data(left) };
                 continue;
             }
-            let end = bytes[at..].iter().position(|b| *b == b'\n');
+            let end = memchr::memchr(b'\n', &bytes[at..]);
             let upto = end.map_or(bytes.len(), |end| at + end);
             self.line.extend_from_slice(&bytes[at..upto]);
             if self.line.len() > CHUNK_LINE {
@@ -274,7 +274,15 @@
 
     /// One whole line outside a chunk's data has come. Lines end in CR LF; a bare LF is refused.
     fn line_ended(&mut self) -> Result<(), HttpError> {
-        let line = std::mem::take(&mut self.line);
+        let mut held = std::mem::take(&mut self.line);
+        let done = self.take_line(&held);
+        // The buffer is kept: streams of tokens have two such lines for each.
+        held.clear();
+        self.line = held;
+        done
+    }
+
+    fn take_line(&mut self, line: &[u8]) -> Result<(), HttpError> {
         let Some(line) = line.strip_suffix(b"\r") else { return Err(HttpError::Chunk) };
         self.chunk = match self.chunk {
             Chunk::Size => {
--- a/crates/protocol/src/sse.rs
+++ b/crates/protocol/src/sse.rs
@@ -36,15 +36,20 @@
     /// Takes bytes and adds the events that they complete to `out`. What was complete before an error
     /// is in `out` then.
     pub fn push(&mut self, bytes: &[u8], out: &mut Vec<Event>) -> Result<(), SseError> {
+        self.each(bytes, &mut |event| out.push(event.clone()))
+    }
+
+    /// Takes bytes and gives each event that they complete, without a copy for each: for streams of tokens.
+    pub fn each(&mut self, bytes: &[u8], take: &mut dyn FnMut(&Event)) -> Result<(), SseError> {
         let mut rest = bytes;
         if self.after_cr && !rest.is_empty() {
             // The LF of a CR LF that was split between two reads.
             self.after_cr = false;
             rest = rest.strip_prefix(b"\n").unwrap_or(rest);
         }
-        while let Some(end) = rest.iter().position(|b| *b == b'\n' || *b == b'\r') {
-            self.line.extend_from_slice(&rest[..end]);
+        while let Some(end) = memchr::memchr2(b'\n', b'\r', rest) {
             let cr = rest[end] == b'\r';
+            let line = &rest[..end];
             rest = &rest[end + 1..];
             if cr {
                 match rest.first() {
@@ -53,8 +58,16 @@
                     None => self.after_cr = true,
                 }
             }
-            let line = std::mem::take(&mut self.line);
-            self.take_line(&line, out)?;
+            if self.line.is_empty() {
+                self.take_line(line, take)?;
+            } else {
+                let mut whole = std::mem::take(&mut self.line);
+                whole.extend_from_slice(line);
+                let done = self.take_line(&whole, take);
+                whole.clear();
+                self.line = whole;
+                done?;
+            }
         }
         self.line.extend_from_slice(rest);
         if self.line.len() + self.event.data.len() > MOST {
@@ -63,20 +76,25 @@
         Ok(())
     }
 
-    fn take_line(&mut self, line: &[u8], out: &mut Vec<Event>) -> Result<(), SseError> {
+    fn take_line(&mut self, line: &[u8], take: &mut dyn FnMut(&Event)) -> Result<(), SseError> {
         let mut line = std::str::from_utf8(line).map_err(|_| SseError::Utf8)?;
         if !self.begun {
             self.begun = true;
             line = line.strip_prefix('\u{feff}').unwrap_or(line);
         }
         if line.is_empty() {
-            let event = std::mem::take(&mut self.event);
             if std::mem::take(&mut self.has_data) {
-                out.push(event);
+                take(&self.event);
             }
+            self.event.name.clear();
+            self.event.data.clear();
+            self.event.id = None;
             return Ok(());
         }
-        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let (field, value) = match memchr::memchr(b':', line.as_bytes()) {
+            Some(at) => (&line[..at], &line[at + 1..]),
+            None => (line, ""),
+        };
         let value = value.strip_prefix(' ').unwrap_or(value);
         match field {
             "data" => {
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -5,11 +5,13 @@
 //! - [`clients`]: planned requests, each with a manner of its own.
 //! - [`play`]: all of it together, with the fronts as processes.
 //! - [`rules`]: the five rules, judged from the traffic.
+//! - [`measure`]: the front against a baseline in one run.
 //! - [`report`]: what it came to.
 
 pub mod clients;
 pub mod day;
 pub mod fleet;
+pub mod measure;
 pub mod play;
 pub mod report;
 pub mod rules;
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -28,6 +28,8 @@
 const NOTICE: Duration = Duration::from_millis(300);
 /// An engine that was killed by the writer's fault comes back after this time.
 const BACK: Duration = Duration::from_secs(2);
+/// How often ended fronts are looked for.
+const REAP: Duration = Duration::from_millis(10);
 /// After the last answer, what is still under way at the engines comes to its end.
 const SETTLE: Duration = Duration::from_millis(800);
 
@@ -73,6 +75,7 @@
     running: Mutex<Vec<Process>>,
     kill_after_tool: AtomicU32,
     clean: AtomicBool,
+    over: AtomicBool,
 }
 
 /// Plays a day and judges it.
@@ -94,9 +97,11 @@
         running: Mutex::default(),
         kill_after_tool: AtomicU32::new(0),
         clean: AtomicBool::new(true),
+        over: AtomicBool::new(false),
         fleet,
     });
     let played = run(day, options, &stage, tapped);
+    stage.over.store(true, Ordering::SeqCst);
     // Whatever went wrong, no process is left behind.
     for process in lock(&stage.running).iter_mut() {
         let _ = process.child.kill();
@@ -125,6 +130,16 @@
         let stage = stage.clone();
         std::thread::spawn(move || stage.watch(&tapped));
     }
+    {
+        // Ends of fronts are noted when they happen: the rules ask whether a front was there.
+        let stage = stage.clone();
+        std::thread::spawn(move || {
+            while !stage.over.load(Ordering::SeqCst) {
+                stage.reap();
+                std::thread::sleep(REAP);
+            }
+        });
+    }
     let begun = Instant::now();
     let hand = {
         let (stage, steps) = (stage.clone(), day.steps.clone());
@@ -159,7 +174,6 @@
     }
     let end = Instant::now() + START + END;
     loop {
-        stage.reap();
         if lock(&stage.running).is_empty() {
             return Ok(());
         }
--- a/crates/standin/src/model/engine.rs
+++ b/crates/standin/src/model/engine.rs
@@ -100,7 +100,7 @@
 #[derive(Clone, Debug)]
 struct Step {
     ends: Micros,
-    read: Option<(JobId, u64)>,
+    reads: Vec<(JobId, u64)>,
     writes: Vec<JobId>,
 }
 
@@ -312,22 +312,31 @@
             return;
         }
         let active = |r: &&Running| self.answers(&r.job.class);
-        let read = self.running.iter().filter(active).find(|r| r.reads());
-        let read = read.map(|r| (r.job.id, r.unread.min(self.spec.chunk)));
+        let mut room = self.spec.chunk;
+        let mut reads = Vec::new();
+        for running in self.running.iter().filter(active).filter(|r| r.reads()) {
+            let tokens = running.unread.min(room);
+            reads.push((running.job.id, tokens));
+            room -= tokens;
+            // A reader reads one prompt at a time, so that its times can be told ahead.
+            if room == 0 || self.spec.role == Role::Prefill {
+                break;
+            }
+        }
         let mut writes: Vec<JobId> =
             self.running.iter().filter(active).filter(|r| r.writes()).map(|r| r.job.id).collect();
         writes.sort_unstable();
-        if read.is_none() && writes.is_empty() {
+        if reads.is_empty() && writes.is_empty() {
             return;
         }
-        let tokens = read.map_or(0.0, |(_, tokens)| tokens as f64);
+        let tokens = reads.iter().map(|(_, tokens)| *tokens as f64).sum::<f64>();
         // A reader's step is the read alone; answers make a step of their own length.
         let base = if writes.is_empty() { 0.0 } else { self.spec.step as f64 };
         let full = base
             + self.spec.step_per_answer as f64 * writes.len() as f64
             + tokens / self.spec.read_per_s * 1e6;
         let time = (full * self.slow / self.warmth(now)).max(1.0);
-        self.step = Some(Step { ends: now + time as Micros, read, writes });
+        self.step = Some(Step { ends: now + time as Micros, reads, writes });
     }
 
     /// When [`Engine::wake`] is due.
@@ -338,7 +347,7 @@
     /// Ends the step that is due.
     pub fn wake(&mut self, now: Micros, out: &mut Vec<Out>) {
         let Some(step) = self.step.take_if(|step| step.ends <= now) else { return };
-        if let Some((id, tokens)) = step.read {
+        for (id, tokens) in step.reads {
             self.end_read(now, id, tokens, out);
         }
         let mut done = Vec::new();
