--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -196,7 +196,7 @@
         }
         // What came in one read goes on in one piece.
         text.clear();
-        let parsed = parser.each(&bytes, &mut |event| said.event(&event.data, &mut text, most));
+        let parsed = parser.each(&bytes, |event| said.event(event.data, &mut text, most));
         if !said.begun && (!text.is_empty() || said.calls.begun()) {
             said.begun = true;
             // From here on the client's patience for a first token no longer runs; a stream in which nothing
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -258,7 +258,16 @@
                 self.chunk = if left == 0 { Chunk::DataEnd } else { Chunk::Data(left) };
                 continue;
             }
-            let end = memchr::memchr(b'\n', &bytes[at..]);
+            // Short lines are looked through byte by byte; a search that is made for long ones costs more.
+            let end = bytes[at..].iter().take(CHUNK_LINE + 1).position(|b| *b == b'\n');
+            if let Some(end) = end
+                && self.line.is_empty()
+                && end <= CHUNK_LINE
+            {
+                self.take_line(&bytes[at..at + end])?;
+                at += end + 1;
+                continue;
+            }
             let upto = end.map_or(bytes.len(), |end| at + end);
             self.line.extend_from_slice(&bytes[at..upto]);
             if self.line.len() > CHUNK_LINE {
--- a/crates/protocol/src/sse.rs
+++ b/crates/protocol/src/sse.rs
@@ -14,6 +14,14 @@
     pub id: Option<String>,
 }
 
+/// One event as it lies in what was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventRef<'a> {
+    pub name: &'a str,
+    pub data: &'a str,
+    pub id: Option<&'a str>,
+}
+
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum SseError {
     #[error("an event over {MOST} bytes")]
@@ -36,11 +44,14 @@
     /// Takes bytes and adds the events that they complete to `out`. What was complete before an error
     /// is in `out` then.
     pub fn push(&mut self, bytes: &[u8], out: &mut Vec<Event>) -> Result<(), SseError> {
-        self.each(bytes, &mut |event| out.push(event.clone()))
+        self.each(bytes, |event| {
+            let id = event.id.map(str::to_owned);
+            out.push(Event { name: event.name.to_owned(), data: event.data.to_owned(), id });
+        })
     }
 
     /// Takes bytes and gives each event that they complete, without a copy for each: for streams of tokens.
-    pub fn each(&mut self, bytes: &[u8], take: &mut dyn FnMut(&Event)) -> Result<(), SseError> {
+    pub fn each(&mut self, bytes: &[u8], mut take: impl FnMut(EventRef<'_>)) -> Result<(), SseError> {
         let mut rest = bytes;
         if self.after_cr && !rest.is_empty() {
             // The LF of a CR LF that was split between two reads.
@@ -59,11 +70,24 @@
                 }
             }
             if self.line.is_empty() {
-                self.take_line(line, take)?;
+                // The usual event is one line of data with an empty line behind it, both in one read.
+                if let Some(data) = line.strip_prefix(b"data: ")
+                    && rest.first() == Some(&b'\n')
+                    && self.begun
+                    && !self.has_data
+                    && self.event.name.is_empty()
+                    && self.event.id.is_none()
+                {
+                    rest = &rest[1..];
+                    let data = std::str::from_utf8(data).map_err(|_| SseError::Utf8)?;
+                    take(EventRef { name: "", data, id: None });
+                    continue;
+                }
+                self.take_line(line, &mut take)?;
             } else {
                 let mut whole = std::mem::take(&mut self.line);
                 whole.extend_from_slice(line);
-                let done = self.take_line(&whole, take);
+                let done = self.take_line(&whole, &mut take);
                 whole.clear();
                 self.line = whole;
                 done?;
@@ -76,7 +100,7 @@
         Ok(())
     }
 
-    fn take_line(&mut self, line: &[u8], take: &mut dyn FnMut(&Event)) -> Result<(), SseError> {
+    fn take_line(&mut self, line: &[u8], take: &mut dyn FnMut(EventRef<'_>)) -> Result<(), SseError> {
         let mut line = std::str::from_utf8(line).map_err(|_| SseError::Utf8)?;
         if !self.begun {
             self.begun = true;
@@ -84,7 +108,8 @@
         }
         if line.is_empty() {
             if std::mem::take(&mut self.has_data) {
-                take(&self.event);
+                let Event { name, data, id } = &self.event;
+                take(EventRef { name, data, id: id.as_deref() });
             }
             self.event.name.clear();
             self.event.data.clear();
