--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,8 +8,10 @@
 //! - [`evidence`]: what was seen of an attempt or a tool call, and what it proves.
 //! - [`estimate`]: tokens from bytes, and lengths of answers, learned.
 //! - [`members`]: the servers as listed and as they show themselves.
+//! - [`addresses`]: many addresses of one server, and one attempt over them.
 //! - [`admission`]: what is turned away before it is taken.
 
+pub mod addresses;
 pub mod admission;
 pub mod chain;
 pub mod estimate;
