--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -75,7 +75,8 @@
                 Err(_) => return,
             };
             match self.request(&head, &body) {
-                Ok(true) if head.keep_alive => {}
+                // A front that drains keeps no connection: its client's next request finds another front.
+                Ok(true) if head.keep_alive && !self.shared.draining.load(Ordering::Relaxed) => {}
                 _ => return,
             }
         }
@@ -248,6 +249,9 @@
             let _guard = guard;
             let mut request = Request::new(&shared, writer, chain, id, route, rid, prompt, progress);
             request.run(session);
+            if shared.draining.load(Ordering::Relaxed) {
+                request.writer.socket().shut();
+            }
             // The connection may have ended meanwhile.
             let _ = done.send((request.writer, request.good));
         });
@@ -259,7 +263,10 @@
         let idle = Duration::from_micros(self.shared.config.front.idle);
         self.conn.set_read_timeout(Some(idle));
         loop {
-            match self.conn.fill() {
+            // Guards against waiting for more from a client that waits for us: its next request may have come with
+            // this one. That it leaves is then noticed by writing only.
+            let more = if self.conn.has_pending() { Ok(()) } else { self.conn.fill() };
+            match more {
                 // The next request has come before the end of this one, or after it.
                 Ok(()) => {
                     let Ok((writer, good)) = finished.recv() else { return Ok(false) };
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use common::{Call, End, LONG, World, call_body};
-use elderstage_net::{Conn, Endpoint, open};
-use elderstage_protocol::mcp;
+use elderstage_net::{Conn, NetError, open};
+use elderstage_protocol::{http, mcp};
 use elderstage_standin::host::{Control, Faults};
 use elderstage_standin::model::Ail;
 use elderstage_standin::tool::ToolFault;
@@ -148,12 +148,14 @@
     let world = World::plain();
     let mut conn = open(world.addr, LONG).unwrap();
     conn.set_read_timeout(Some(LONG));
-    let to = Endpoint { addr: world.addr, path: "/mcp".into() };
+    // Both in one write, so that the front may read them together.
+    let mut both = Vec::new();
     for (id, words) in [(1, 40), (2, 3)] {
         let body = call_body("ask", &format!("Number {id}. [words {words}]"), id, true);
         let headers = [("content-type", "application/json"), ("accept", "text/event-stream")];
-        elderstage_net::send(&mut conn, "POST", &to, &headers, body.as_bytes()).unwrap();
+        http::write_request("POST", "/mcp", "front", &headers, body.as_bytes(), &mut both);
     }
+    conn.write(&both).unwrap();
     let mut first = Call::expect(conn, 1);
     assert_eq!(first.served().split_whitespace().count(), 40);
     let mut second = Call::expect(first.conn, 2);
@@ -174,7 +176,7 @@
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket.set_recv_buffer_size(4096).unwrap();
     socket.connect(&world.addr.into()).unwrap();
-    let conn = Conn::new(socket.into()).unwrap();
+    let conn = Conn::new(std::net::TcpStream::from(socket)).unwrap();
     let deaf = Call::on(conn, world.addr, "ask", "Very much. [words 6000]", 1, None, true);
     world.until("taken", |status| status.counters.attempts >= 1);
     for _ in 0..5 {
@@ -196,6 +198,7 @@
     assert!(matches!(late.end(), End::Refused { retry_after_ms: Some(ms), .. } if ms > 0));
     let done = std::thread::spawn(move || front.finish(&AtomicBool::new(false)));
     assert!(order.served().contains("order 1 placed"));
+    assert!(matches!(order.conn.fill(), Err(NetError::Closed)), "its client is to go elsewhere");
     assert!(done.join().unwrap(), "all had ended by themselves");
     assert!(open(world.addr, Duration::from_millis(500)).is_err(), "it listens no more");
     world.fleet.stop();
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,9 +4,10 @@
 use std::time::{Duration, Instant};
 
 use elderstage_protocol::http;
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockAddr, Socket, Type};
 
 use crate::conn::{Conn, NetError};
+use crate::stream::Place;
 
 /// EINPROGRESS on Linux: the connection is being made.
 const IN_PROGRESS: i32 = 115;
@@ -25,21 +26,34 @@
     pub body: Vec<u8>,
 }
 
-/// Opens a connection; no longer than `time`.
-pub fn open(addr: SocketAddr, time: Duration) -> Result<Conn, NetError> {
+/// Opens a connection; no longer than `time`. A Unix socket answers at once: one whose backlog is full counts as
+/// one that cannot be reached.
+pub fn open(place: impl Into<Place>, time: Duration) -> Result<Conn, NetError> {
     let until = Instant::now() + time;
-    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
-    match socket.connect(&addr.into()) {
-        Ok(()) => {}
-        Err(error) if error.raw_os_error() == Some(IN_PROGRESS) => {}
-        Err(error) => return Err(error.into()),
-    }
-    let conn = Conn::new(socket.into())?;
+    let conn = match place.into() {
+        Place::Tcp(addr) => {
+            let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+            begin(&socket, &addr.into())?;
+            Conn::new(std::net::TcpStream::from(socket))?
+        }
+        Place::Unix(path) => {
+            let socket = Socket::new(Domain::UNIX, Type::STREAM, None)?;
+            begin(&socket, &SockAddr::unix(path)?)?;
+            Conn::new(std::os::unix::net::UnixStream::from(std::os::fd::OwnedFd::from(socket)))?
+        }
+    };
     conn.connected(until)?;
     Ok(conn)
 }
 
+fn begin(socket: &Socket, addr: &SockAddr) -> Result<(), NetError> {
+    socket.set_nonblocking(true)?;
+    match socket.connect(addr) {
+        Err(error) if error.raw_os_error() != Some(IN_PROGRESS) => Err(NetError::Io(error)),
+        _ => Ok(()),
+    }
+}
+
 /// Writes a request.
 pub fn send(
     conn: &mut Conn,
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -1,7 +1,6 @@
 //! One connection: buffered reading of HTTP messages, and writing, each with a time limit.
 
-use std::io::{self, Read, Write};
-use std::net::TcpStream;
+use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,6 +8,7 @@
 use may::io::{CoIo, WaitIo};
 use thiserror::Error;
 
+use crate::stream::Stream;
 use crate::watch::Watch;
 
 /// Bytes asked of the system in one read.
@@ -41,19 +41,19 @@
 
 /// A handle on a connection that another coroutine or thread uses: shutting it ends its reads and writes.
 #[derive(Clone)]
-pub struct Socket(Arc<TcpStream>);
+pub struct Socket(Arc<Stream>);
 
 impl Socket {
     /// Ends all reading and writing on it, now and later.
     pub fn shut(&self) {
         // An error means that the peer has closed it already.
-        let _ = self.0.shutdown(std::net::Shutdown::Both);
+        let _ = self.0.shut();
     }
 }
 
 /// A connection with what has been read and not used yet.
 pub struct Conn {
-    io: CoIo<Arc<TcpStream>>,
+    io: CoIo<Arc<Stream>>,
     buffer: Vec<u8>,
     at: usize,
     deadline: Option<Instant>,
@@ -64,14 +64,14 @@
     /// Closes the descriptor after `io` has stopped watching it (fields are dropped in this order). Guards against
     /// lost wake-ups: were it closed first, its number could be another connection's by the time it is taken off
     /// the watch, and that other connection would never hear of its data.
-    _last: Arc<TcpStream>,
+    _last: Arc<Stream>,
 }
 
 impl Conn {
     /// Takes a connection over. Fails where the system has no room to watch it.
-    pub fn new(stream: TcpStream) -> Result<Conn, NetError> {
-        // Small messages that wait for acknowledgement would add up to 40 ms to a token.
-        stream.set_nodelay(true)?;
+    pub fn new(stream: impl Into<Stream>) -> Result<Conn, NetError> {
+        let stream = stream.into();
+        stream.set_nodelay()?;
         let stream = Arc::new(stream);
         let io = CoIo::new(stream.clone()).map_err(|error| NetError::Io(error.into()))?;
         Ok(Conn {
@@ -97,8 +97,8 @@
             if let Some(error) = self.io.inner().take_error()? {
                 return Err(error.into());
             }
-            match self.io.inner().peer_addr() {
-                Ok(_) => return Ok(()),
+            match self.io.inner().is_connected() {
+                Ok(()) => return Ok(()),
                 Err(error) if error.kind() == io::ErrorKind::NotConnected => self.wait(Some(until))?,
                 Err(error) => return Err(error.into()),
             }
@@ -144,7 +144,7 @@
         let timeout = self.read_timeout.map(|time| Instant::now() + time);
         let until = [self.deadline, timeout].into_iter().flatten().min();
         loop {
-            match (&**self.io.inner()).read(&mut self.buffer[into..]) {
+            match self.io.inner().read(&mut self.buffer[into..]) {
                 Ok(n) => return Ok(n),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.wait(until)?,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -172,8 +172,7 @@
 
     /// Whether an idle connection is still good for a request: open, and nothing unasked has come on it.
     pub fn is_idle(&self) -> bool {
-        let mut byte = [0];
-        let peeked = self.io.inner().peek(&mut byte);
+        let peeked = self.io.inner().peek();
         !self.has_pending() && matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -198,7 +197,7 @@
         // The limit is on standing still: each piece that the peer takes begins it anew.
         let mut until = None;
         while !rest.is_empty() {
-            match (&**self.io.inner()).write(rest) {
+            match self.io.inner().write(rest) {
                 Ok(0) => return Err(NetError::Closed),
                 Ok(n) => {
                     rest = &rest[n..];
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 mod listener;
 pub mod owner;
 mod spawn;
+mod stream;
 mod watch;
 
 pub use client::{Answer, Endpoint, exchange, open, receive, send};
@@ -15,6 +16,7 @@
 pub use listener::{Listener, Stop};
 pub use may::coroutine::sleep;
 pub use spawn::{STACK_WORDS, go, init};
+pub use stream::{Place, Stream};
 
 /// Channels between coroutines, and from threads to coroutines.
 pub mod channel {
