--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -75,8 +75,7 @@
                 Err(_) => return,
             };
             match self.request(&head, &body) {
-                // A front that drains keeps no connection: its client's next request finds another front.
-                Ok(true) if head.keep_alive && !self.shared.draining.load(Ordering::Relaxed) => {}
+                Ok(true) if head.keep_alive => {}
                 _ => return,
             }
         }
@@ -249,9 +248,6 @@
             let _guard = guard;
             let mut request = Request::new(&shared, writer, chain, id, route, rid, prompt, progress);
             request.run(session);
-            if shared.draining.load(Ordering::Relaxed) {
-                request.writer.socket().shut();
-            }
             // The connection may have ended meanwhile.
             let _ = done.send((request.writer, request.good));
         });
