A tool server's 404 is judged in core; a test waits for the call it is about

Read-through: the front decided by itself to call a tool again after 404. What a status proves now stands in core's evidence (tested for 5 statuses) and core's tries say whether there is another call. Two copies of one error answer became one.

--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -78,6 +78,12 @@
     if matches!(code, -32700 | -32602..=-32600) { ToolEnd::NotRun } else { ToolEnd::Unknown }
 }
 
+/// What a tool server's HTTP status proves by itself. 404 says that the session is not known (MCP, transports):
+/// the call was not taken. All others are read from the message.
+pub fn tool_status(status: u16) -> Option<ToolEnd> {
+    (status == 404).then_some(ToolEnd::NotRun)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -116,5 +122,9 @@
         assert_eq!(rpc_error(-32601), ToolEnd::NotRun);
         assert_eq!(rpc_error(-32603), ToolEnd::Unknown);
         assert_eq!(rpc_error(-32000), ToolEnd::Unknown);
+        assert_eq!(tool_status(404), Some(ToolEnd::NotRun));
+        for status in [200, 400, 500, 503] {
+            assert_eq!(tool_status(status), None, "{status} proves nothing");
+        }
     }
 }
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -54,8 +54,13 @@
         self.conn.set_write_timeout(Some(stall));
         loop {
             self.conn.set_read_timeout(Some(idle));
-            let head = match self.conn.request() {
-                Ok(head) => head,
+            let received = self.conn.request().and_then(|head| {
+                self.conn.set_read_timeout(Some(stall));
+                let body = self.conn.body(head.framing)?;
+                Ok((head, body))
+            });
+            let (head, body) = match received {
+                Ok(received) => received,
                 Err(NetError::Http(error)) => {
                     let text = error.to_string();
                     // The connection ends in any case.
@@ -64,16 +69,6 @@
                 }
                 Err(_) => return,
             };
-            self.conn.set_read_timeout(Some(stall));
-            let body = match self.conn.body(head.framing) {
-                Ok(body) => body,
-                Err(NetError::Http(error)) => {
-                    let text = error.to_string();
-                    let _ = self.answer(error.status(), &[("connection", "close")], text.as_bytes());
-                    return;
-                }
-                Err(_) => return,
-            };
             match self.request(&head, &body) {
                 Ok(true) if head.keep_alive => {}
                 _ => return,
--- a/crates/front/src/tools.rs
+++ b/crates/front/src/tools.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use elderstage_config::{Config, ToolConfig};
-use elderstage_core::evidence::{ToolEnd, rpc_error};
+use elderstage_core::evidence::{ToolEnd, rpc_error, tool_status};
 use elderstage_net::{Conn, Endpoint, NetError, open, receive, send};
 use elderstage_protocol::jsonrpc::{self, Id, Message};
 use elderstage_protocol::{http, mcp, sse};
@@ -43,8 +43,6 @@
 enum Said {
     Text(mcp::ToolText),
     End(ToolEnd),
-    /// The server does not know the session any more: the call was not taken.
-    NoSession,
 }
 
 impl ToolClient {
@@ -77,11 +75,7 @@
             return (ToolEnd::NotRun, None);
         }
         let end = Instant::now() + call.timeout;
-        let mut said = self.once(shared, call, end);
-        if matches!(said, Said::NoSession) {
-            self.know(None);
-            said = self.once(shared, call, end);
-        }
+        let said = self.once(shared, call, end);
         call.slot.end(call.slot_key);
         match said {
             Said::Text(result) => {
@@ -89,7 +83,6 @@
                 (ToolEnd::Result { bytes: text.len() }, Some(text))
             }
             Said::End(end) => (end, None),
-            Said::NoSession => (ToolEnd::NotRun, None),
         }
     }
 
@@ -128,6 +121,10 @@
             return Said::End(ToolEnd::Unknown);
         }
         let (said, again) = answer(&mut conn, &id);
+        if matches!(said, Said::End(ToolEnd::NotRun)) {
+            // The next try opens a session anew; whether there is one is the core's to say.
+            self.know(None);
+        }
         if again {
             shared.pool.put(self.to.addr, conn);
         }
@@ -186,8 +183,8 @@
         }
     };
     let again = answer.head.keep_alive;
-    if answer.head.status == 404 {
-        return (Said::NoSession, again);
+    if let Some(end) = tool_status(answer.head.status) {
+        return (Said::End(end), again);
     }
     let said = match message(&answer.head, &answer.body).map(|bytes| jsonrpc::parse(&bytes)) {
         Some(Ok(Message::Response { id: of, result })) if of == *id => match result {
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -82,7 +82,8 @@
     world.fleet.tools.fault(ToolFault::Slow(Duration::from_millis(600)));
     let mut call = world.call("order", ORDER);
     call.first();
-    world.until("tool call", |status| status.counters.tool_calls == 1);
+    // The owner has counted the call before it is made: the tool server itself must have begun it.
+    world.until("tool call", |_| world.fleet.tools.orders() == 1);
     call.leave();
     world.until("client gone", |status| status.counters.gone == 1 && status.held == 0);
     assert_eq!(ran(&world.finish()), 1);
