--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -71,7 +71,7 @@
         "{{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"tools/call\",\"params\":{{\"name\":\"ask\",\
          \"arguments\":{{\"prompt\":\"x [words {words}]\"}}}}}}"
     );
-    let to = Endpoint { addr, path: "/mcp".into() };
+    let to = Endpoint::new(addr, "/mcp");
     let answer =
         exchange("POST", &to, &[("content-type", "application/json")], body.as_bytes(), LONG).unwrap();
     String::from_utf8(answer.body).unwrap()
@@ -84,7 +84,7 @@
     let addr = running.addr;
     let stream = std::thread::spawn(move || ask(addr, 120));
     let end = Instant::now() + LONG;
-    let metrics = Endpoint { addr, path: "/metrics".into() };
+    let metrics = Endpoint::new(addr, "/metrics");
     loop {
         let text = exchange("GET", &metrics, &[], b"", LONG).unwrap().body;
         if String::from_utf8(text).unwrap().contains("elderstage_requests_held 1") {
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use elderstage_protocol::place::Place;
+
 /// Microseconds.
 pub type Micros = u64;
 
@@ -12,6 +14,14 @@
     Mixed,
 }
 
+/// How a connection is proven before the body of a request that must not run twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProofName {
+    Continue,
+    Health,
+    None,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GroupName {
     All,
@@ -71,6 +81,7 @@
     pub name: String,
     pub role: RoleName,
     pub kv_tokens: f64,
+    pub proof: ProofName,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,7 +95,8 @@
 pub struct ServerConfig {
     pub line: usize,
     pub name: String,
-    pub addr: SocketAddr,
+    /// In the order of preference.
+    pub places: Vec<Place>,
     pub kind: String,
     pub zone: String,
     pub cell: u32,
@@ -135,11 +147,26 @@
     pub reports_in_answers: bool,
 }
 
+/// Bounds on connections to engines and tool servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConnectionsConfig {
+    pub dials_per_s: f64,
+    pub dials_at_once: f64,
+    pub per_server: usize,
+    pub in_all: usize,
+    /// Idle ones kept for one address, and how long.
+    pub idle_each: usize,
+    pub idle: Micros,
+    pub age: Micros,
+    pub uses: u32,
+}
+
 /// A whole configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     pub front: FrontConfig,
     pub rules: RulesConfig,
+    pub connections: ConnectionsConfig,
     pub zones: Vec<String>,
     pub classes: Vec<ClassConfig>,
     pub tools: Vec<ToolConfig>,
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -2,9 +2,14 @@
 
 use std::net::SocketAddr;
 
+use elderstage_protocol::place::Place;
+
 use crate::lines::{ConfigError, Directive, Errors, directives};
 use crate::model::*;
 
+/// Addresses of one server: more than a box has ways in.
+const MOST_PLACES: usize = 8;
+
 /// Gathers what is wrong, and reads values with a word on what was expected.
 struct Reader<'a> {
     file: &'a str,
@@ -124,6 +129,38 @@
         self.one(section, name, default, expected, |text| text.parse().ok(), nowhere)
     }
 
+    /// One or more addresses, in the order of preference.
+    fn places(&mut self, section: &mut Section<'_>, name: &str) -> Vec<Place> {
+        let Some(directive) = self.take(section, name) else {
+            self.wrong(section.line, format!("expected {name} in section \"{}\"", section.name));
+            return Vec::new();
+        };
+        if directive.values.is_empty() || directive.values.len() > MOST_PLACES {
+            let what = format!("{name}: expected from 1 to {MOST_PLACES} addresses");
+            self.wrong(directive.line, what);
+        }
+        let mut places: Vec<Place> = Vec::new();
+        for (index, value) in directive.values.iter().enumerate() {
+            let number = index + 1;
+            match value.parse::<Place>() {
+                Ok(place) => match places.iter().position(|other| *other == place) {
+                    Some(first) => {
+                        let what = format!(
+                            "{name}: value {number}: \"{value}\" stands already as value {}",
+                            first + 1
+                        );
+                        self.wrong(directive.line, what);
+                    }
+                    None => places.push(place),
+                },
+                Err(error) => {
+                    self.wrong(directive.line, format!("{name}: value {number}: \"{value}\": {error}"));
+                }
+            }
+        }
+        places
+    }
+
     fn yes(&mut self, section: &mut Section<'_>, name: &str, default: bool) -> bool {
         let read = |text: &str| match text {
             "yes" => Some(true),
@@ -283,11 +320,19 @@
         "mixed" => Some(RoleName::Mixed),
         _ => None,
     };
+    let proof = |text: &str| match text {
+        "continue" => Some(ProofName::Continue),
+        "health" => Some(ProofName::Health),
+        "none" => Some(ProofName::None),
+        _ => None,
+    };
+    let expected = "continue, health or none";
     let kind = KindConfig {
         line: directive.line,
         name: s.name.clone(),
         role: reader.one(s, "role", None, "prefill, decode or mixed", read, RoleName::Mixed),
         kv_tokens: reader.number(s, "kv-tokens", None, (1.0, 1e12)),
+        proof: reader.one(s, "proof", Some(ProofName::Continue), expected, proof, ProofName::None),
     };
     reader.finish(section);
     kind
@@ -306,7 +351,7 @@
     let server = ServerConfig {
         line: directive.line,
         name: s.name.clone(),
-        addr: reader.addr(s, "address", None),
+        places: reader.places(s, "address"),
         kind: reader.text(s, "kind", None),
         zone: reader.text(s, "zone", None),
         cell: reader.number(s, "cell", Some(0.0), (0.0, 1e6)) as u32,
@@ -318,6 +363,25 @@
     server
 }
 
+fn connections(reader: &mut Reader<'_>, directive: Option<&Directive>) -> ConnectionsConfig {
+    let empty = Directive { line: 1, name: "connections".into(), values: Vec::new(), body: Some(Vec::new()) };
+    let mut section = reader.section(directive.unwrap_or(&empty), false);
+    let s = &mut section;
+    s.name = "connections".into();
+    let connections = ConnectionsConfig {
+        dials_per_s: reader.number(s, "dials-per-second", Some(200.0), (1.0, 1e6)),
+        dials_at_once: reader.number(s, "dials-at-once", Some(100.0), (1.0, 1e6)),
+        per_server: reader.number(s, "per-server", Some(512.0), (1.0, 1e6)) as usize,
+        in_all: reader.number(s, "in-all", Some(8192.0), (1.0, 1e6)) as usize,
+        idle_each: reader.number(s, "idle-per-address", Some(64.0), (0.0, 1e6)) as usize,
+        idle: reader.time(s, "idle", Some("20s")),
+        age: reader.time(s, "age", Some("600s")),
+        uses: reader.number(s, "uses", Some(10_000.0), (1.0, 1e9)) as u32,
+    };
+    reader.finish(section);
+    connections
+}
+
 fn front(reader: &mut Reader<'_>, directive: &Directive) -> FrontConfig {
     let mut section = reader.section(directive, false);
     let s = &mut section;
@@ -379,6 +443,11 @@
 fn check_servers(reader: &mut Reader<'_>, servers: &[ServerConfig], kinds: &[KindConfig], zones: &[String]) {
     unique(reader, "server", servers.iter().map(|s| (s.line, s.name.as_str())));
     for server in servers {
+        // It stands in headers, metrics and logs.
+        if server.name.is_empty() || !server.name.bytes().all(|b| b.is_ascii_graphic() && b != b'"') {
+            let what = format!("server \"{}\": expected a name without spaces or quotes", server.name);
+            reader.wrong(server.line, what);
+        }
         if !kinds.iter().any(|kind| kind.name == server.kind) {
             reader.wrong(server.line, format!("server {}: no kind is called {}", server.name, server.kind));
         }
@@ -394,12 +463,14 @@
     let mut reader = Reader { file, errors: Vec::new() };
     let r = &mut reader;
     let (mut fronts, mut rule_sections, mut zones) = (Vec::new(), Vec::new(), Vec::new());
+    let mut connection_sections = Vec::new();
     let (mut classes, mut tools, mut routes) = (Vec::new(), Vec::new(), Vec::new());
     let (mut kinds, mut servers, mut files) = (Vec::new(), Vec::new(), Vec::new());
     for directive in &all {
         match directive.name.as_str() {
             "front" => fronts.push(directive),
             "rules" => rule_sections.push(directive),
+            "connections" => connection_sections.push(directive),
             "zones" => zones.extend(directive.values.iter().cloned()),
             "class" => classes.push(class(r, directive)),
             "tool" => tools.push(tool(r, directive)),
@@ -413,7 +484,8 @@
             other => r.wrong(directive.line, format!("unknown directive {other}")),
         }
     }
-    for doubled in fronts.iter().skip(1).chain(rule_sections.iter().skip(1)) {
+    let doubled = [&fronts, &rule_sections, &connection_sections].map(|list| list.iter().skip(1));
+    for doubled in doubled.into_iter().flatten() {
         r.wrong(doubled.line, format!("{} stands already in this file", doubled.name));
     }
     if let Some((line, _)) = files.get(1) {
@@ -427,6 +499,7 @@
         }
     };
     let rules = rules(r, rule_sections.first().copied());
+    let connections = connections(r, connection_sections.first().copied());
     check(r, front.as_ref(), &zones, &classes, &tools, &routes, &kinds);
     check_servers(r, &servers, &kinds, &zones);
     let servers_file = files.into_iter().next().map(|(_, path)| path);
@@ -435,9 +508,18 @@
     }
     let mut errors = reader.errors;
     match front {
-        Some(front) if errors.is_empty() => {
-            Ok(Config { front, rules, zones, classes, tools, routes, kinds, servers, servers_file })
-        }
+        Some(front) if errors.is_empty() => Ok(Config {
+            front,
+            rules,
+            connections,
+            zones,
+            classes,
+            tools,
+            routes,
+            kinds,
+            servers,
+            servers_file,
+        }),
         _ => {
             errors.sort_by_key(|error| error.line);
             Err(Errors(errors))
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -63,6 +63,17 @@
     assert_eq!(config.rules.drain_grace, 2_000_000);
 }
 
+#[test]
+fn a_server_has_addresses_in_the_order_of_preference() {
+    let text = GOOD.replace("127.0.0.1:8001", "unix:/run/r1.sock [::1]:8001 127.0.0.1:8001");
+    let config = parse("f.conf", &text).unwrap();
+    let places: Vec<String> = config.servers[0].places.iter().map(ToString::to_string).collect();
+    assert_eq!(places, ["unix:/run/r1.sock", "[::1]:8001", "127.0.0.1:8001"]);
+    assert_eq!((config.connections.per_server, config.connections.idle), (512, 20_000_000));
+    let bounded = parse("f.conf", &format!("{GOOD}connections {{\n per-server 7\n idle 1s\n}}\n")).unwrap();
+    assert_eq!((bounded.connections.per_server, bounded.connections.idle), (7, 1_000_000));
+}
+
 #[test]
 fn each_kind_of_mistake_names_its_line_and_what_was_expected() {
     for (old, new, line, wanted) in [
@@ -78,7 +89,15 @@
         ("repeat safe", "repeat sometimes", 9, "expected safe, unsafe, or keyed"),
         ("effect none", "effect some", 21, "expected none or lasting"),
         ("http://127.0.0.1:9000/mcp\n    effect none", "ftp://x\n    effect none", 20, "expected a URL"),
-        ("127.0.0.1:8001", "localhost", 41, "expected an address and port"),
+        ("127.0.0.1:8001", "localhost", 41, "expected an address such as"),
+        ("127.0.0.1:8001", "127.0.0.1:8001 [::1", 41, "address: value 2: \"[::1\": address: IPv6 stands in"),
+        ("127.0.0.1:8001", "[fe80::1%lo]:8001", 41, "address: value 1: \"[fe80::1%lo]:8001\": zone:"),
+        ("127.0.0.1:8001", "unix:/a unix:b", 41, "address: value 2: \"unix:b\": path: expected an absolute"),
+        ("127.0.0.1:8001", "127.0.0.1:x", 41, "address: value 1: \"127.0.0.1:x\": port:"),
+        ("127.0.0.1:8001", "unix:/a [::1]:1 unix:/a", 41, "value 3: \"unix:/a\" stands already as value 1"),
+        ("127.0.0.1:8001", "", 41, "address: expected from 1 to 8 addresses"),
+        ("server r1", "server \"r 1\"", 40, "expected a name without spaces"),
+        ("role prefill", "role prefill\n    proof yes", 38, "expected continue, health or none"),
         ("shortly. {#}\"", "shortly.", 30, "expected a closing quote"),
         ("zones a b", "zones a b\n}", 4, "closes nothing"),
         ("# A small deployment.", "surprise yes", 2, "unknown directive surprise"),
--- a/crates/core/src/addresses/book.rs
+++ b/crates/core/src/addresses/book.rs
@@ -3,64 +3,132 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use elderstage::{ServerId, Time};
+use elderstage_protocol::place::{Family, Place};
 
 /// Weight of one connect in the learned time.
 const STEP: f64 = 0.3;
-/// First pause of an address that failed; it doubles with each failure in a row, up to the longest.
+/// First pause of an address that failed; it doubles with each failure, up to the longest.
 const PAUSE: Time = 500_000;
-const LONGEST_PAUSE: Time = 30_000_000;
-/// Pauses are stretched by up to this share, drawn for each front, so that fronts do not come back together.
+const LONGEST_PAUSE: Time = 10_000_000;
+/// Pauses are stretched by up to this share, another for each front, so that fronts do not come back together.
 const JITTER: f64 = 0.5;
-/// So many servers that fail by one family in a row, with none reached by it meanwhile, speak of a dead network.
+/// An address that has been good for so long starts from the first pause again; one that flaps does not.
+const FORGIVEN: Time = 60_000_000;
+/// So many servers that fail by one family while another reaches them, with none reached by it meanwhile, speak of
+/// a dead network; and how long such a failure is held against the family.
 const FAMILY_FAILS: usize = 3;
-
-/// How a server is reached.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Family {
-    Unix,
-    V6,
-    V4,
-}
-
-/// One address of a server: its place in the configured order, and its family.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Address {
-    pub place: usize,
-    pub family: Family,
-}
+const FAMILY_MEMORY: Time = 30_000_000;
+/// So many requests in a row without a byte of answer make an address a doubtful one: it comes after the others.
+const SILENCES: u32 = 2;
+/// A proof holds for so long: requests that may be repeated go without a further one.
+const PROVEN_FOR: Time = 10_000_000;
+/// Dials at once to an address that is paused, where a server has no other.
+const HALF_OPEN: u32 = 2;
+/// A server that has left is known for so long: releases and attempts under way may still name it.
+const FORGET: Time = 60_000_000;
 
 /// What is known of one address.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Known {
-    /// Mean time to connect in microseconds; 0 before the first.
+    /// Mean time to connect, and to prove a connection, in microseconds; 0 before the first.
     pub connect: f64,
+    pub prove: f64,
+    /// Failures since it was last proven: while there are any, it comes after the others and is tried only by
+    /// trials, or where a server has nothing else.
     pub fails: u32,
-    /// Not tried before this time, and then by one dial at a time.
+    /// No trial before this time.
     pub until: Time,
-    /// When it last answered a request, not only a connect: an address may accept and then stall.
-    pub proven: Time,
+    /// When it last answered something; an address may accept and then stall.
+    pub proven: Option<Time>,
+    /// Requests without a byte of answer since the last that had one.
+    pub silences: u32,
     /// Dials that are out.
     pub dialing: u32,
+    /// It has refused `Expect: 100-continue`, and is proven by a health request instead.
+    pub no_continue: bool,
+    /// Pauses so far, as they grow; an address that flaps keeps them.
+    pauses: u32,
+    good_since: Option<Time>,
+    failed_at: Time,
+    trial: bool,
+    /// Since when no listed server has it; none while one does.
+    left: Option<Time>,
+}
+
+/// An address to try.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    pub place: Place,
+    pub connect: f64,
+    pub prove: f64,
+    /// A request that may be repeated needs no proof of it first.
+    pub proven: bool,
+    pub no_continue: bool,
 }
 
 #[derive(Clone, Debug, Default)]
 struct FamilyState {
-    failed: BTreeSet<ServerId>,
-    until: Time,
+    failed: BTreeMap<ServerId, Time>,
+    /// Held to be dead; no trial before this time.
+    down: Option<Time>,
     pauses: u32,
+    /// The address by which it was last tried.
+    tried: Option<Place>,
+    trial: bool,
 }
 
-/// All addresses of all servers, as one front knows them.
+#[derive(Clone, Debug)]
+struct Listed {
+    places: Vec<Place>,
+    left: Option<Time>,
+}
+
+/// All addresses of all servers, as one front knows them. What is known of an address is the same for all servers
+/// that have it.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
-    servers: BTreeMap<ServerId, BTreeMap<Address, Known>>,
+    servers: BTreeMap<ServerId, Listed>,
+    known: BTreeMap<Place, Known>,
     families: BTreeMap<Family, FamilyState>,
+    /// Addresses with failures.
+    bad: BTreeSet<Place>,
     /// Share of this front's jitter, from 0 to 1.
     jitter: f64,
 }
 
-fn pause(fails: u32, jitter: f64) -> Time {
-    let base = (PAUSE << fails.saturating_sub(1).min(6)).min(LONGEST_PAUSE);
+impl Known {
+    fn doubtful(&self) -> bool {
+        self.silences >= SILENCES
+    }
+
+    fn bad(&self) -> bool {
+        self.fails > 0 || self.doubtful()
+    }
+
+    /// Puts the next trial off, for longer each time.
+    fn punish(&mut self, now: Time, jitter: f64) {
+        if self.fails == 0 && self.good_since.is_some_and(|at| now >= at + FORGIVEN) {
+            self.pauses = 0;
+        }
+        self.pauses += 1;
+        self.until = now + pause(self.pauses, jitter);
+    }
+}
+
+/// A dial that is made to learn, with no request behind it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trial {
+    pub server: ServerId,
+    pub place: Place,
+    /// It is for the whole family.
+    pub family: bool,
+    /// Requests got no answer though connections were made: the trial is to be as long as a request, since a network
+    /// may pass small packets only.
+    pub heavy: bool,
+}
+
+fn pause(number: u32, jitter: f64) -> Time {
+    let base = (PAUSE << number.saturating_sub(1).min(6)).min(LONGEST_PAUSE);
     (base as f64 * (1.0 + JITTER * jitter)) as Time
 }
 
@@ -70,180 +138,293 @@
         Book { jitter: jitter.clamp(0.0, 1.0), ..Book::default() }
     }
 
-    /// Takes a server's addresses in the configured order; what is known of those that stay is kept.
-    pub fn set(&mut self, server: &ServerId, families: &[Family]) {
-        let old = self.servers.remove(server).unwrap_or_default();
-        let address = |(place, family): (usize, &Family)| Address { place, family: *family };
-        let known =
-            families.iter().enumerate().map(address).map(|a| (a, old.get(&a).copied().unwrap_or_default()));
-        self.servers.insert(server.clone(), known.collect());
-    }
-
-    pub fn remove(&mut self, server: &ServerId) {
-        self.servers.remove(server);
+    /// Takes the whole list: each server's addresses in the configured order, and whether it is told to leave.
+    /// What is known of addresses that stay is kept, whichever server has them now.
+    pub fn list(&mut self, now: Time, servers: impl IntoIterator<Item = (ServerId, Vec<Place>, bool)>) {
+        let mut old = std::mem::take(&mut self.servers);
+        for (server, places, leaves) in servers {
+            let before = old.remove(&server).and_then(|listed| listed.left);
+            let left = leaves.then(|| before.unwrap_or(now));
+            self.servers.insert(server, Listed { places, left });
+        }
+        for (server, mut listed) in old {
+            let left = *listed.left.get_or_insert(now);
+            if now < left + FORGET {
+                self.servers.insert(server, listed);
+            }
+        }
+        let mut homes: BTreeMap<&Place, Option<Time>> = BTreeMap::new();
+        for listed in self.servers.values() {
+            for place in &listed.places {
+                let left = homes.entry(place).or_insert(listed.left);
+                *left = (*left).zip(listed.left).map(|(a, b)| a.max(b));
+            }
+        }
+        self.known.retain(|place, _| homes.contains_key(place));
+        for (place, left) in homes {
+            self.known.entry(place.clone()).or_default().left = left;
+        }
+        self.bad.retain(|place| self.known.contains_key(place));
         for family in self.families.values_mut() {
-            family.failed.remove(server);
+            family.failed.retain(|server, _| self.servers.get(server).is_some_and(|s| s.left.is_none()));
         }
+        // A family that no listed server has any more is nobody's concern, and would be tried for ever.
+        let listed: BTreeSet<Family> =
+            self.known.iter().filter(|(_, known)| known.left.is_none()).map(|(p, _)| p.family()).collect();
+        self.families.retain(|family, _| listed.contains(family));
+    }
+
+    pub fn known(&self, place: &Place) -> Option<&Known> {
+        self.known.get(place)
     }
 
-    pub fn known(&self, server: &ServerId, address: Address) -> Known {
-        self.servers.get(server).and_then(|all| all.get(&address)).copied().unwrap_or_default()
+    /// Whether connections to it are to be closed: no server has it any more, and the grace is over.
+    pub fn left(&self, place: &Place, now: Time, grace: Time) -> bool {
+        match self.known.get(place) {
+            None => true,
+            Some(known) => known.left.is_some_and(|left| now >= left + grace),
+        }
     }
 
     /// Whether a family is held to be unreachable as a whole.
-    pub fn family_down(&self, family: Family, now: Time) -> bool {
-        self.families.get(&family).is_some_and(|state| now < state.until)
-    }
-
-    /// The addresses to try, in their order: what is fit by preference, then what is paused, soonest first. Paused
-    /// ones are there so that a server of which all are paused is still tried, once for each attempt.
-    pub fn order(&self, server: &ServerId, now: Time) -> Vec<Address> {
-        let Some(all) = self.servers.get(server) else { return Vec::new() };
-        let mut order: Vec<(bool, bool, Time, Address)> = all
-            .iter()
-            .map(|(address, known)| {
-                // A paused address whose time has come is fit for one dial at a time.
-                let paused = known.fails > 0 && (now < known.until || known.dialing > 0);
-                let down = self.family_down(address.family, now);
-                (paused, down, if paused { known.until } else { 0 }, *address)
-            })
-            .collect();
+    pub fn family_down(&self, family: Family) -> bool {
+        self.families.get(&family).is_some_and(|state| state.down.is_some())
+    }
+
+    /// Addresses that have failed and were not proven since.
+    pub fn failing(&self) -> usize {
+        self.bad.len()
+    }
+
+    /// The addresses to try, in their order: what is fit by preference, then what has failed, soonest due first.
+    /// Failed ones are there so that a server of which all have failed is still tried, by a few at a time.
+    pub fn order(&self, server: &ServerId, now: Time) -> Vec<Choice> {
+        let Some(listed) = self.servers.get(server) else { return Vec::new() };
+        let mut order: Vec<(bool, bool, Time, usize)> = Vec::with_capacity(listed.places.len());
+        for (index, place) in listed.places.iter().enumerate() {
+            let Some(known) = self.known.get(place) else { continue };
+            if known.fails > 0 && known.dialing >= HALF_OPEN {
+                continue;
+            }
+            let (bad, down) = (known.bad(), self.family_down(place.family()));
+            order.push((bad, down, if bad { known.until } else { 0 }, index));
+        }
         order.sort_unstable();
-        order.into_iter().map(|(.., address)| address).collect()
+        let choice = |index: usize| {
+            let place = &listed.places[index];
+            let known = self.known.get(place).cloned().unwrap_or_default();
+            let fresh = known.proven.is_some_and(|at| now < at + PROVEN_FOR);
+            Choice {
+                place: place.clone(),
+                connect: known.connect,
+                prove: known.prove,
+                proven: fresh && known.silences == 0 && known.fails == 0,
+                no_continue: known.no_continue,
+            }
+        };
+        order.into_iter().map(|(.., index)| choice(index)).collect()
+    }
+
+    /// The addresses of a server as they are listed.
+    pub fn places(&self, server: &ServerId) -> &[Place] {
+        self.servers.get(server).map_or(&[], |listed| &listed.places)
     }
 
-    pub fn dialing(&mut self, server: &ServerId, address: Address) {
-        if let Some(known) = self.get(server, address) {
+    // ---- What is seen ----
+
+    pub fn dialing(&mut self, place: &Place) {
+        if let Some(known) = self.known.get_mut(place) {
             known.dialing += 1;
         }
     }
 
-    /// A dial has ended without a word on the address: another one won.
-    pub fn dropped(&mut self, server: &ServerId, address: Address) {
-        if let Some(known) = self.get(server, address) {
+    /// A dial has come to its end, whichever.
+    pub fn dialed(&mut self, place: &Place) {
+        if let Some(known) = self.known.get_mut(place) {
             known.dialing = known.dialing.saturating_sub(1);
         }
     }
 
-    pub fn connected(&mut self, server: &ServerId, address: Address, took: Time) {
-        self.dropped(server, address);
-        if let Some(known) = self.get(server, address) {
-            let took = took as f64;
-            known.connect += if known.connect == 0.0 { took } else { STEP * (took - known.connect) };
+    pub fn connected(&mut self, place: &Place, took: Time) {
+        if let Some(known) = self.known.get_mut(place) {
+            learn(&mut known.connect, took);
         }
     }
 
-    /// A request was answered over this address: it is good, and so is its family.
-    pub fn proven(&mut self, server: &ServerId, address: Address, now: Time) {
-        if let Some(known) = self.get(server, address) {
-            (known.proven, known.fails, known.until) = (now, 0, 0);
+    /// Something was answered over this address: it is good, and so is its family. `took` is the time that a proof
+    /// took, where it was one.
+    pub fn proven(&mut self, place: &Place, now: Time, took: Option<Time>) {
+        let Some(known) = self.known.get_mut(place) else { return };
+        if let Some(took) = took {
+            learn(&mut known.prove, took);
+        }
+        if known.fails > 0 || known.good_since.is_none() {
+            known.good_since = Some(now);
+        }
+        (known.proven, known.fails) = (Some(now), 0);
+        // Guards against a proof by a small head that vouches for a path on which long bodies are lost.
+        if took.is_none() {
+            known.silences = 0;
+        }
+        if !known.bad() {
+            known.until = 0;
+            self.bad.remove(place);
+        }
+        let Some(family) = self.families.remove(&place.family()) else { return };
+        if family.down.is_some() {
+            // The network is back: what failed with it is tried again soon, spread over the first pause.
+            let mine: Vec<Place> =
+                self.bad.iter().filter(|p| p.family() == place.family()).cloned().collect();
+            let count = mine.len().max(1) as Time;
+            for (number, place) in mine.iter().enumerate() {
+                if let Some(known) = self.known.get_mut(place) {
+                    known.until = known.until.min(now + PAUSE * number as Time / count);
+                }
+            }
         }
-        self.families.remove(&address.family);
     }
 
-    /// A connect failed, or a connection stalled before it said anything.
-    pub fn failed(&mut self, server: &ServerId, address: Address, now: Time) {
-        self.dropped(server, address);
+    /// A connect failed, or a connection was closed or stalled before it was proven. `since` is when that dial or
+    /// proof began.
+    pub fn failed(&mut self, place: &Place, now: Time, since: Time) {
         let jitter = self.jitter;
-        let Some(known) = self.get(server, address) else { return };
+        let Some(known) = self.known.get_mut(place) else { return };
+        // Guards against a hundred requests under way together that each double the pause: what began before the
+        // last failure was known says nothing new.
+        if known.fails > 0 && since <= known.failed_at {
+            return;
+        }
+        // Nor does it say anything of an address that has answered since.
+        if known.proven.is_some_and(|at| at > since) {
+            return;
+        }
+        known.punish(now, jitter);
         known.fails += 1;
-        known.until = now + pause(known.fails, jitter);
-        // Guards against a dead network that is found server by server: a few are enough for all of them.
-        let family = self.families.entry(address.family).or_default();
-        family.failed.insert(server.clone());
-        if family.failed.len() >= FAMILY_FAILS {
-            family.pauses += 1;
-            family.until = now + pause(family.pauses, jitter);
-            family.failed.clear();
+        known.failed_at = now;
+        self.bad.insert(place.clone());
+    }
+
+    /// A request got no byte of an answer over a connection that was made.
+    pub fn silent(&mut self, place: &Place, now: Time, since: Time) {
+        let jitter = self.jitter;
+        let Some(known) = self.known.get_mut(place) else { return };
+        if known.proven.is_some_and(|at| at > since) {
+            return;
+        }
+        known.silences += 1;
+        if known.silences == SILENCES {
+            known.punish(now, jitter);
+            self.bad.insert(place.clone());
         }
     }
 
-    fn get(&mut self, server: &ServerId, address: Address) -> Option<&mut Known> {
-        self.servers.get_mut(server)?.get_mut(&address)
+    /// It does not take requests that wait for a word before their body.
+    pub fn refused_continue(&mut self, place: &Place) {
+        if let Some(known) = self.known.get_mut(place) {
+            known.no_continue = true;
+        }
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+    /// A server was reached at `won` after these had failed or were late: what that says of their families.
+    pub fn beaten(&mut self, server: &ServerId, won: &Place, lost: &[Place], now: Time) {
+        for place in lost {
+            let family = place.family();
+            // Guards against a dead server that speaks for a network: only where another family reached it.
+            if family == won.family() {
+                continue;
+            }
+            let jitter = self.jitter;
+            let state = self.families.entry(family).or_default();
+            state.failed.retain(|_, at| now < *at + FAMILY_MEMORY);
+            state.failed.insert(server.clone(), now);
+            // Guards against a dead network that is found server by server: a few are enough for all of them.
+            if state.down.is_none() && state.failed.len() >= FAMILY_FAILS {
+                state.pauses += 1;
+                state.down = Some(now + pause(state.pauses, jitter));
+            }
+        }
+    }
 
-    const S: Time = 1_000_000;
-    const ALL: [Family; 3] = [Family::Unix, Family::V6, Family::V4];
+    // ---- Trials ----
 
-    fn server(name: &str) -> ServerId {
-        ServerId(name.into())
+    /// The trials that are due and that `may` lets begin. A family that is down is tried by one address at a time,
+    /// another each time; its failed addresses wait for that.
+    pub fn trials(&mut self, now: Time, mut may: impl FnMut() -> bool) -> Vec<Trial> {
+        let mut out = Vec::new();
+        let down: Vec<Family> =
+            self.families.iter().filter(|(_, s)| s.down.is_some()).map(|(f, _)| *f).collect();
+        for family in down {
+            let Some(place) = self.family_trial(family, now) else { continue };
+            let Some(server) = self.home(&place) else { continue };
+            if !may() {
+                return out;
+            }
+            if let Some(state) = self.families.get_mut(&family) {
+                (state.trial, state.tried) = (true, Some(place.clone()));
+            }
+            out.push(Trial { server, place, family: true, heavy: false });
+        }
+        let due: Vec<Place> = self.bad.iter().filter(|place| self.due(place, now)).cloned().collect();
+        for place in due {
+            let Some(server) = self.home(&place) else { continue };
+            if !may() {
+                return out;
+            }
+            let Some(known) = self.known.get_mut(&place) else { continue };
+            known.trial = true;
+            out.push(Trial { server, heavy: known.doubtful(), place, family: false });
+        }
+        out
     }
 
-    fn families(book: &Book, name: &str, now: Time) -> Vec<Family> {
-        book.order(&server(name), now).into_iter().map(|address| address.family).collect()
+    fn due(&self, place: &Place, now: Time) -> bool {
+        let known = self.known.get(place);
+        let due = known.is_some_and(|k| now >= k.until && !k.trial && k.dialing == 0 && k.left.is_none());
+        due && !self.family_down(place.family())
     }
 
-    fn at(place: usize) -> Address {
-        Address { place, family: ALL[place] }
+    /// The next address by which a family is tried, if its time has come.
+    fn family_trial(&self, family: Family, now: Time) -> Option<Place> {
+        let state = self.families.get(&family)?;
+        if state.trial || state.down.is_none_or(|until| now < until) {
+            return None;
+        }
+        let mine = |(place, known): &(&Place, &Known)| place.family() == family && known.left.is_none();
+        let after = self.known.iter().filter(mine).map(|(place, _)| place);
+        let next = after.clone().find(|place| state.tried.as_ref().is_none_or(|tried| *place > tried));
+        next.or_else(|| after.clone().next()).cloned()
     }
 
-    #[test]
-    fn the_configured_order_holds_until_an_address_fails_and_again_after_its_pause() {
-        let mut book = Book::new(0.0);
-        book.set(&server("s"), &ALL);
-        assert_eq!(families(&book, "s", 0), ALL);
-        book.failed(&server("s"), at(0), 0);
-        assert_eq!(families(&book, "s", 1), [Family::V6, Family::V4, Family::Unix]);
-        assert_eq!(families(&book, "s", PAUSE), ALL, "its time for a trial has come");
-        book.dialing(&server("s"), at(0));
-        assert_eq!(families(&book, "s", PAUSE)[2], Family::Unix, "one trial at a time");
-        book.failed(&server("s"), at(0), PAUSE);
-        assert_eq!(families(&book, "s", 2 * PAUSE)[2], Family::Unix, "twice as long");
-        book.proven(&server("s"), at(0), 3 * PAUSE);
-        assert_eq!(families(&book, "s", 3 * PAUSE), ALL);
+    /// A listed server that has this address.
+    fn home(&self, place: &Place) -> Option<ServerId> {
+        let has = |listed: &Listed| listed.left.is_none() && listed.places.contains(place);
+        self.servers.iter().find(|(_, listed)| has(listed)).map(|(server, _)| server.clone())
     }
 
-    #[test]
-    fn a_dead_family_is_found_by_a_few_servers_for_all_of_them() {
-        let mut book = Book::new(0.0);
-        let names: Vec<String> = (0..50).map(|n| format!("s{n}")).collect();
-        for name in &names {
-            book.set(&server(name), &[Family::V6, Family::V4]);
-        }
-        let v6 = Address { place: 0, family: Family::V6 };
-        for name in &names[..FAMILY_FAILS] {
-            assert_eq!(families(&book, "s40", 0)[0], Family::V6);
-            book.failed(&server(name), v6, 0);
+    /// A trial has ended; `good` when something was answered.
+    pub fn tried(&mut self, trial: &Trial, now: Time, since: Time, good: bool) {
+        let jitter = self.jitter;
+        if let Some(known) = self.known.get_mut(&trial.place) {
+            known.trial = false;
+            known.silences = if good && trial.heavy { 0 } else { known.silences };
         }
-        assert_eq!(families(&book, "s40", 1), [Family::V4, Family::V6]);
-        // One server reached by it brings the family back for all.
-        book.proven(&server("s7"), v6, 2);
-        assert_eq!(families(&book, "s40", 3)[0], Family::V6);
-    }
-
-    #[test]
-    fn one_dead_server_does_not_speak_for_its_family() {
-        let mut book = Book::new(0.0);
-        for name in ["a", "b"] {
-            book.set(&server(name), &ALL);
+        if good {
+            return self.proven(&trial.place, now, Some(now - since.min(now)));
         }
-        for n in 0..20 {
-            book.failed(&server("a"), at(1), n * 60 * S);
+        self.failed(&trial.place, now, since);
+        if let Some(state) = self.families.get_mut(&trial.place.family()).filter(|_| trial.family) {
+            state.trial = false;
+            state.pauses += 1;
+            state.down = state.down.map(|_| now + pause(state.pauses, jitter));
         }
-        assert_eq!(families(&book, "b", 0), ALL);
-        assert!(!book.family_down(Family::V6, 20 * 60 * S));
-    }
-
-    #[test]
-    fn pauses_are_bounded_and_differ_between_fronts() {
-        assert!(pause(1, 0.0) < pause(2, 0.0) && pause(60, 1.0) <= (LONGEST_PAUSE as f64 * 1.5) as Time);
-        assert_ne!(pause(3, 0.1), pause(3, 0.9));
     }
+}
 
-    #[test]
-    fn a_changed_list_keeps_what_was_learned() {
-        let mut book = Book::new(0.0);
-        book.set(&server("s"), &ALL);
-        book.connected(&server("s"), at(1), 900);
-        book.set(&server("s"), &ALL[..2]);
-        assert_eq!(book.known(&server("s"), at(1)).connect, 900.0);
-        assert_eq!(book.order(&server("s"), 0).len(), 2);
-        book.remove(&server("s"));
-        assert!(book.order(&server("s"), 0).is_empty());
-    }
+fn learn(mean: &mut f64, took: Time) {
+    let took = took.max(1) as f64;
+    *mean += if *mean == 0.0 { took } else { STEP * (took - *mean) };
 }
+
+#[cfg(test)]
+#[path = "book_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/core/src/addresses/tests.rs
@@ -0,0 +1,129 @@
+use super::*;
+
+const S: Time = 1_000_000;
+const MS: Time = 1_000;
+
+fn server(name: &str) -> ServerId {
+    ServerId(name.into())
+}
+
+fn places() -> Vec<Place> {
+    ["[::1]:80", "127.0.0.1:80"].iter().map(|text| text.parse().unwrap()).collect()
+}
+
+fn addresses() -> Addresses<u32> {
+    let mut addresses = Addresses::new(Bounds { in_all: 2, ..Bounds::default() }, 0.0);
+    addresses.list(0, [(server("s"), places(), false)]);
+    addresses
+}
+
+fn ask(once: bool) -> Ask {
+    Ask { once, proof: Proof::Continue, connect: 250 * MS, time: 10 * S }
+}
+
+/// Goes from one step to the next with everything working.
+fn connect(addresses: &mut Addresses<u32>, race: &mut Race, now: Time) -> Step<(u32, Life)> {
+    loop {
+        match addresses.poll(now, race) {
+            Step::Dial(lane, _) => {
+                addresses.dialed(now, race.place(lane), now, true);
+                assert!(race.connected(lane));
+            }
+            Step::Prove(lane, _) => assert!(addresses.proven(now, race, lane)),
+            Step::Reuse(..) => {}
+            step => return step,
+        }
+    }
+}
+
+#[test]
+fn what_must_not_run_twice_is_always_proven_and_the_rest_where_nothing_vouches() {
+    let mut addresses = addresses();
+    let proofs = |addresses: &mut Addresses<u32>, once| {
+        let before = addresses.counts().proofs;
+        let mut race = addresses.begin(S, &server("s"), ask(once));
+        let step = connect(addresses, &mut race, S);
+        assert!(matches!(step, Step::Send(0, _)), "{step:?}");
+        addresses.free(S, &places()[0], 7, Life::new(S));
+        addresses.counts().proofs - before
+    };
+    assert_eq!(proofs(&mut addresses, false), 1, "nothing known yet");
+    assert_eq!(proofs(&mut addresses, false), 0, "proven just now");
+    assert_eq!(proofs(&mut addresses, true), 1);
+    // A server with one address has nowhere else to go with a request that may be repeated.
+    addresses.list(S, [(server("s"), places()[..1].to_vec(), false)]);
+    let mut race = addresses.begin(60 * S, &server("s"), ask(false));
+    assert!(matches!(connect(&mut addresses, &mut race, 60 * S), Step::Send(0, Rest::Whole)));
+}
+
+#[test]
+fn an_address_that_refuses_the_expectation_is_proven_by_a_health_request_from_then_on() {
+    let mut addresses = addresses();
+    let mut race = addresses.begin(S, &server("s"), ask(true));
+    assert!(matches!(addresses.poll(S, &mut race), Step::Dial(0, _)));
+    race.connected(0);
+    assert_eq!(addresses.poll(S, &mut race), Step::Prove(0, Proof::Continue));
+    addresses.without_continue(S, &mut race, 0, true);
+    assert_eq!(addresses.poll(S, &mut race), Step::Send(0, Rest::Whole));
+    let mut race = addresses.begin(2 * S, &server("s"), ask(true));
+    assert!(matches!(addresses.poll(2 * S, &mut race), Step::Dial(0, _)));
+    race.connected(0);
+    assert_eq!(addresses.poll(2 * S, &mut race), Step::Prove(0, Proof::Health));
+}
+
+#[test]
+fn idle_connections_make_room_and_too_many_in_use_are_told() {
+    let mut addresses = addresses();
+    let begin = |addresses: &mut Addresses<u32>, now| {
+        let mut race = addresses.begin(now, &server("s"), ask(false));
+        connect(addresses, &mut race, now)
+    };
+    assert!(matches!(begin(&mut addresses, S), Step::Send(0, _)));
+    assert!(matches!(begin(&mut addresses, S), Step::Send(0, _)));
+    assert_eq!(begin(&mut addresses, S), Step::Lost(Lost::NoRoom));
+    addresses.free(S, &"127.0.0.1:80".parse().unwrap(), 9, Life::new(S));
+    assert!(matches!(begin(&mut addresses, S), Step::Send(0, _)));
+    assert_eq!(addresses.closing(), [9]);
+    addresses.closed(&places()[1]);
+    addresses.closed(&places()[0]);
+    assert_eq!(addresses.counts().no_room, 2, "both addresses of the one that found none");
+}
+
+#[test]
+fn the_connections_of_a_server_that_left_are_closed_after_the_grace() {
+    let mut addresses = addresses();
+    addresses.free(S, &places()[0], 1, Life::new(S));
+    addresses.list(2 * S, [(server("s"), places(), true)]);
+    addresses.tend(3 * S);
+    assert!(addresses.closing().is_empty(), "the grace");
+    addresses.tend(4 * S);
+    assert_eq!(addresses.closing(), [1]);
+    // One that comes free later is not kept.
+    addresses.free(5 * S, &places()[0], 2, Life::new(S));
+    assert_eq!(addresses.closing(), [2]);
+}
+
+#[test]
+fn a_dead_network_is_told_once_and_its_return_too() {
+    let mut addresses = Addresses::<u32>::new(Bounds::default(), 0.0);
+    let place = |family: &str, n: usize| format!("{family}:{}", 80 + n).parse::<Place>().unwrap();
+    let pair = |n| vec![place("[::1]", n), place("127.0.0.1", n)];
+    addresses.list(0, (0..5).map(|n| (server(&format!("s{n}")), pair(n), false)));
+    for n in 0..3 {
+        let mut race = addresses.begin(S, &server(&format!("s{n}")), ask(false));
+        assert!(matches!(addresses.poll(S, &mut race), Step::Dial(0, _)));
+        addresses.dialed(S, race.place(0), S, false);
+        race.failed(0);
+        assert!(matches!(connect(&mut addresses, &mut race, S), Step::Send(1, _)));
+    }
+    assert_eq!(addresses.tend(S).1, [(Family::V6, true)]);
+    assert_eq!(addresses.tend(S).1, []);
+    // The others go by IPv4 at once.
+    let mut race = addresses.begin(S, &server("s4"), ask(false));
+    assert!(matches!(addresses.poll(S, &mut race), Step::Dial(0, _)));
+    assert_eq!(race.place(0).family(), Family::V4);
+    let (trials, _) = addresses.tend(3 * S);
+    assert_eq!((trials.len(), trials[0].family), (1, true));
+    addresses.tried(3 * S, &trials[0], 3 * S, true);
+    assert_eq!(addresses.tend(3 * S).1, [(Family::V6, false)]);
+}
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -121,6 +121,8 @@
         timeout: Time,
         /// The class is keyed: repeats are dropped by a key.
         keyed: bool,
+        /// It must not run twice: its connection is proven before its body goes.
+        once: bool,
     },
     /// Stop waiting for an attempt; its end is still to be told.
     Cancel {
@@ -644,7 +646,8 @@
         let Some(chain) = self.chains.get_mut(&id) else { return };
         let kind = self.members.get(&server).map(|entry| entry.kind);
         let role = kind.and_then(|kind| self.plan.settings.roles.get(kind)).copied().unwrap_or_default();
-        let keyed = matches!(self.plan.classes[chain.class].repeat, Repeat::Keyed { .. });
+        let repeat = self.plan.classes[chain.class].repeat;
+        let keyed = matches!(repeat, Repeat::Keyed { .. });
         let turn = chain.legs;
         let Phase::Leg(state) = &mut chain.phase else { return };
         let stage = match (role, &state.state) {
@@ -656,7 +659,9 @@
         state.attempts += 1;
         state.out = Some((server.clone(), stage));
         self.counters.attempts += 1;
-        out.push(Effect::Send { chain: id, leg, turn, attempt, server, stage, timeout, keyed });
+        // Whatever a reader does has no effect.
+        let once = repeat != Repeat::Safe && stage != Stage::Read;
+        out.push(Effect::Send { chain: id, leg, turn, attempt, server, stage, timeout, keyed, once });
     }
 }
 
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -2,7 +2,7 @@
 //!
 //! The front reports what its sockets showed; here it becomes the [`Outcome`] that the module is told. The line
 //! between "proved never to have run" and "may have run" is drawn narrowly, since a wrong proof runs an order
-//! twice: only a connection that was never made, a request of which no byte was written, and an engine's own
+//! twice: only a connection that was never made, a request of which the body was not written, and an engine's own
 //! word count. Its own word is status 429 (it takes no more, RFC 6585) and status 424 with the code that no
 //! state was found. A 503 is no proof: proxies give it after passing a request on. Whatever a reader does has
 //! no effect, which the module knows.
@@ -18,6 +18,12 @@
     NotConnected,
     /// The time given ran out before the request was written.
     NotWritten,
+    /// Connections were made and got the request's head, and no word to go on came: its body was not written.
+    NotProven,
+    /// The front's own bounds on connecting left no room; nothing was written.
+    NoRoom,
+    /// The engine answered the head with this final status: the body was not written.
+    Unsent { status: u16 },
     /// The time given ran out after the request, or part of it, was written.
     TimedOut,
     /// The connection broke after the request, or part of it, was written.
@@ -42,8 +48,11 @@
 /// What it proves, and the note that goes with it.
 pub fn judge(stage: Stage, evidence: &Evidence) -> (Outcome, u64) {
     match evidence {
-        Evidence::NotConnected => (Outcome::NoConnection, 0),
-        Evidence::NotWritten => (Outcome::NoConnection, 0),
+        Evidence::NotConnected | Evidence::NotWritten | Evidence::NotProven => (Outcome::NoConnection, 0),
+        // Nothing is wrong with the server: the module is told that there is no room for more.
+        Evidence::NoRoom => (Outcome::Full, 0),
+        // Whatever the status: an engine cannot run a prompt that it does not have.
+        Evidence::Unsent { .. } => (Outcome::Full, 0),
         Evidence::TimedOut => (Outcome::TimedOut, 0),
         Evidence::Broke => (Outcome::Broken, 0),
         Evidence::Cancelled => (Outcome::Cancelled, 0),
@@ -95,6 +104,9 @@
         let ran = |evidence: &Evidence| !judge(Stage::Write, evidence).0.never_ran();
         assert!(!ran(&Evidence::NotConnected) && !ran(&Evidence::NotWritten) && !ran(&status(429, None)));
         assert!(!ran(&status(424, Some(NO_STATE_CODE))));
+        assert!(
+            !ran(&Evidence::NotProven) && !ran(&Evidence::NoRoom) && !ran(&Evidence::Unsent { status: 503 })
+        );
         for evidence in [
             status(503, None),
             status(500, None),
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -56,6 +56,7 @@
             self.conn.set_read_timeout(Some(idle));
             let received = self.conn.request().and_then(|head| {
                 self.conn.set_read_timeout(Some(stall));
+                self.conn.take_body(&head)?;
                 let body = self.conn.body(head.framing)?;
                 Ok((head, body))
             });
@@ -432,12 +433,13 @@
         let body = engine::body(&ask);
         self.messages = ask.messages;
         let attempt = Attempt {
-            addr: self.shared.site.addr(&send.server),
+            server: &send.server,
             stage: send.stage,
             key: Key::Attempt { turn: send.turn, attempt: send.attempt },
             rid: format!("{}/{}/{}", self.rid, send.turn, send.attempt),
             idempotency: send.keyed.then(|| format!("{}/{}", self.rid, send.turn)),
             timeout: Duration::from_micros(send.timeout),
+            once: send.once,
             body,
             slot,
         };
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -1,28 +1,31 @@
 //! One attempt at an engine: connect or reuse, send, read the answer, and say what was seen.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use elderstage::ServerId;
 use elderstage_core::Stage;
+use elderstage_core::addresses::{Ask, Lost, Rest};
 use elderstage_core::evidence::Evidence;
-use elderstage_net::{Conn, Endpoint, NetError, open, send};
+use elderstage_net::{Conn, NetError, send};
 use elderstage_protocol::engine::{self, Finish, ToolCall, Usage};
 use elderstage_protocol::{http, orca, sse};
 use serde_json::Value;
 
 use crate::Shared;
+use crate::links::{Got, Wanted};
 use crate::slot::{Key, Slot};
 
 /// What is to be sent, and where.
 pub(crate) struct Attempt<'a> {
-    /// None where no list has named the server.
-    pub addr: Option<SocketAddr>,
+    pub server: &'a ServerId,
     pub stage: Stage,
     pub key: Key,
     pub rid: String,
     /// Names the request to engines that drop repeats.
     pub idempotency: Option<String>,
     pub timeout: Duration,
+    /// It must not run twice.
+    pub once: bool,
     pub body: Vec<u8>,
     pub slot: &'a Slot,
 }
@@ -67,26 +70,6 @@
 
 fn run(shared: &Shared, attempt: &Attempt<'_>, sink: &mut dyn Sink) -> Ended {
     let end = Instant::now() + attempt.timeout;
-    let Some(addr) = attempt.addr else { return Ended::with(Evidence::NotConnected) };
-    let mut conn = match shared.pool.take(addr) {
-        Some(conn) => conn,
-        None => {
-            let time = Duration::from_micros(shared.config.rules.connect).min(attempt.timeout);
-            match open(addr, time) {
-                Ok(conn) => conn,
-                Err(_) => return Ended::with(Evidence::NotConnected),
-            }
-        }
-    };
-    if !attempt.slot.connected(attempt.key, conn.socket()) {
-        return Ended::with(Evidence::Cancelled);
-    }
-    if Instant::now() >= end {
-        return Ended::with(Evidence::NotWritten);
-    }
-    conn.set_deadline(Some(end));
-    conn.set_write_timeout(Some(end.saturating_duration_since(Instant::now())));
-    let to = Endpoint { addr, path: engine::COMPLETIONS.into() };
     let mut headers = vec![
         ("content-type", "application/json"),
         ("x-request-id", attempt.rid.as_str()),
@@ -96,25 +79,62 @@
     if let Some(key) = &attempt.idempotency {
         headers.push(("idempotency-key", key.as_str()));
     }
-    if let Err(error) = send(&mut conn, "POST", &to, &headers, &attempt.body) {
-        return Ended::with(seen(&error));
+    let ask = Ask {
+        once: attempt.once,
+        proof: shared.site.proof(attempt.server),
+        connect: shared.config.rules.connect,
+        time: attempt.timeout.as_micros() as u64,
+    };
+    let wanted = Wanted {
+        server: attempt.server,
+        ask,
+        path: engine::COMPLETIONS,
+        headers: &headers,
+        body: attempt.body.len(),
+        slot: Some((attempt.slot, attempt.key)),
+    };
+    let (mut link, rest) = match shared.links.connect(&wanted) {
+        Got::Link(link, rest) => (link, rest),
+        Got::Lost(Lost::NotConnected) => return Ended::with(Evidence::NotConnected),
+        Got::Lost(Lost::NotProven) => return Ended::with(Evidence::NotProven),
+        Got::Lost(Lost::NoRoom) => return Ended::with(Evidence::NoRoom),
+        Got::Answered(status) => return Ended::with(Evidence::Unsent { status }),
+        Got::Cancelled => return Ended::with(Evidence::Cancelled),
+    };
+    if !attempt.slot.connected(attempt.key, link.conn.socket()) {
+        return Ended::with(Evidence::Cancelled);
+    }
+    if Instant::now() >= end {
+        return Ended::with(Evidence::NotWritten);
     }
-    let head = match conn.response() {
+    link.conn.set_deadline(Some(end));
+    link.conn.set_write_timeout(Some(end.saturating_duration_since(Instant::now())));
+    let to = link.to(engine::COMPLETIONS);
+    let sent = match rest {
+        Rest::Body => link.conn.write(&attempt.body),
+        Rest::Whole => send(&mut link.conn, "POST", &to, &headers, &attempt.body),
+    };
+    let head = match sent.and_then(|()| link.conn.response()) {
         Ok(head) => head,
-        Err(error) => return Ended::with(seen(&error)),
+        Err(error) => {
+            shared.links.silent(&link);
+            return Ended::with(seen(&error));
+        }
     };
+    shared.links.answered(&link.place);
+    let conn = &mut link.conn;
     let report = head.headers.get(orca::HEADER).and_then(orca::parse);
     let streams = head.headers.get("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
     let mut ended = if head.status == 200 && streams && attempt.stage != Stage::Read {
-        stream(shared, &mut conn, &head, sink)
+        stream(shared, conn, &head, sink)
     } else {
-        whole(&mut conn, &head, attempt.stage)
+        whole(conn, &head, attempt.stage)
     };
     ended.report = report;
     // A connection is used again only after an answer that has ended in good order.
     if head.keep_alive && !matches!(ended.evidence, Evidence::Garbled | Evidence::Broke | Evidence::TimedOut)
     {
-        shared.pool.put(addr, conn);
+        shared.links.free(*link);
     }
     ended
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,10 +5,10 @@
 
 mod client;
 mod engines;
+mod links;
 mod mcp;
 mod owner;
 mod plan;
-mod pool;
 mod servers;
 mod sessions;
 mod slot;
@@ -27,10 +27,10 @@
 use elderstage_net::{Listener, Stop, go, init};
 use thiserror::Error;
 
+use links::Links;
 pub use owner::Status;
 use owner::{Input, Owner};
 use plan::Site;
-use pool::Pool;
 use sessions::Sessions;
 
 /// Events that wait for the owner at most. A full queue turns new requests away and slows the rest down.
@@ -58,7 +58,7 @@
     pub config: Config,
     pub site: Site,
     pub inbox: Inbox<Input>,
-    pub pool: Pool,
+    pub links: Arc<Links>,
     pub sessions: Sessions,
     pub tools: Vec<tools::ToolClient>,
     pub clock: Clock,
@@ -91,8 +91,12 @@
         let (inbox, events) = queue(QUEUE);
         let core = Core::new(plan::plan(&config), seed);
         let tools = config.tools.iter().map(|tool| tools::ToolClient::new(tool, &config)).collect();
+        // Fronts that start together differ by their seed in when they try an address again.
+        let jitter = (seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 40) as f64 / (1u64 << 24) as f64;
+        let connect = config.rules.connect;
+        let links = Links::new(plan::bounds(&config), jitter, clock, site.via.clone(), connect);
         let shared = Arc::new(Shared {
-            pool: Pool::new(),
+            links,
             sessions: Sessions::new(seed),
             tools,
             site,
@@ -106,6 +110,11 @@
         });
         let watch = Arc::new(AtomicBool::new(true));
         servers::begin(&shared, base, watch.clone())?;
+        {
+            let (links, goes_on) = (shared.links.clone(), watch.clone());
+            let tend = move || links.tend(&goes_on);
+            std::thread::Builder::new().name("addresses".into()).spawn(tend).map_err(StartError::Thread)?;
+        }
         run("owner", clock, events, Owner::new(core, shared.clone())).map_err(StartError::Thread)?;
         let stop = listener.stopper();
         let accept = shared.clone();
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -11,10 +11,11 @@
 use elderstage_core::{ChainId, Core, Counters, Effect, Event, Final, Stage, Submit};
 use elderstage_net::channel::Sender;
 use elderstage_net::owner::{Machine, Micros};
-use elderstage_net::{Endpoint, go};
+use elderstage_net::{NetError, go};
 use elderstage_protocol::{engine, orca};
 
 use crate::Shared;
+use crate::links::ExchangeError;
 use crate::plan::{self, ClockMap};
 use crate::slot::{Key, Slot};
 
@@ -35,6 +36,7 @@
     pub stage: Stage,
     pub timeout: Time,
     pub keyed: bool,
+    pub once: bool,
 }
 
 /// What coroutines and threads tell the owner.
@@ -105,8 +107,8 @@
 
     fn effect(&mut self, effect: Effect) {
         match effect {
-            Effect::Send { chain, leg, turn, attempt, server, stage, timeout, keyed } => {
-                let mail = SendMail { leg, turn, attempt, server, stage, timeout, keyed };
+            Effect::Send { chain, leg, turn, attempt, server, stage, timeout, keyed, once } => {
+                let mail = SendMail { leg, turn, attempt, server, stage, timeout, keyed, once };
                 self.mail(chain, Mail::Send(mail));
             }
             Effect::CallTool { chain, turn, call, tool, attempt, timeout } => {
@@ -124,8 +126,8 @@
             }
             Effect::Release { chain, turn, attempt, server } => {
                 let rid = self.open.get(&chain).map(|open| format!("{}/{turn}/{attempt}", open.rid));
-                if let (Some(rid), Some(addr)) = (rid, self.shared.site.addr(&server)) {
-                    release(&self.shared, Endpoint { addr, path: engine::ABORT.into() }, rid);
+                if let Some(rid) = rid {
+                    release(&self.shared, server, rid);
                 }
             }
             Effect::Probe { server } => probe(&self.shared, server),
@@ -186,18 +188,18 @@
 }
 
 /// Tells a reader to let go of a state; tried twice within the time that the rule allows.
-fn release(shared: &Arc<Shared>, to: Endpoint, rid: String) {
+fn release(shared: &Arc<Shared>, server: ServerId, rid: String) {
     let shared = shared.clone();
     go(move || {
         let body = serde_json::json!({"rid": rid}).to_string();
         let time = Duration::from_micros(shared.config.rules.let_go / 2);
         let headers = [("content-type", "application/json"), ("via", shared.site.via.as_str())];
         for _ in 0..2 {
-            let done = shared.pool.exchange("POST", &to, &headers, body.as_bytes(), time);
+            let done = shared.links.exchange(&server, "POST", engine::ABORT, &headers, body.as_bytes(), time);
             match done {
                 Ok(_) => return,
                 Err(error) => {
-                    tracing::debug!(target: "request", %rid, addr = %to.addr, %error, "release not heard");
+                    tracing::debug!(target: "request", %rid, server = %server.0, %error, "release not heard");
                 }
             }
         }
@@ -205,21 +207,19 @@
 }
 
 fn probe(shared: &Arc<Shared>, server: ServerId) {
-    let Some(addr) = shared.site.addr(&server) else { return };
     let shared = shared.clone();
     go(move || {
         let begun = shared.clock.now();
-        let to = Endpoint { addr, path: engine::HEALTH.into() };
         let headers = [orca::ASK, ("via", shared.site.via.as_str())];
         let time = Duration::from_micros(shared.config.rules.connect);
-        let answer = shared.pool.exchange("GET", &to, &headers, b"", time);
+        let answer = shared.links.exchange(&server, "GET", engine::HEALTH, &headers, b"", time);
         let took = shared.clock.now() - begun;
         let (evidence, report) = match answer {
             Ok(answer) if answer.head.status == 200 => {
                 (None, answer.head.headers.get(orca::HEADER).and_then(orca::parse))
             }
             Ok(answer) => (Some(Evidence::Status { status: answer.head.status, code: None }), None),
-            Err(elderstage_net::NetError::TimedOut) => (Some(Evidence::TimedOut), None),
+            Err(ExchangeError::Net(NetError::TimedOut)) => (Some(Evidence::TimedOut), None),
             Err(_) => (Some(Evidence::NotConnected), None),
         };
         let load = report.as_ref().map(plan::load);
@@ -257,6 +257,30 @@
     ] {
         lines.push(format!("elderstage_{name}_total {value}"));
     }
+    let (a, (open, idle), failing, down) = shared.links.counts();
+    lines.push(format!("elderstage_engine_connections {open}"));
+    lines.push(format!("elderstage_engine_connections_idle {idle}"));
+    lines.push(format!("elderstage_addresses_failing {failing}"));
+    for family in ["unix", "ipv6", "ipv4"] {
+        let is = u8::from(down.iter().any(|name| name == family));
+        lines.push(format!("elderstage_address_family_down{{family=\"{family}\"}} {is}"));
+    }
+    for (name, value) in [
+        ("dials", a.dials),
+        ("dials_failed", a.dials_failed),
+        ("dials_overtaken", a.overtaken),
+        ("dials_without_room", a.no_room),
+        ("connections_reused", a.reused),
+        ("connections_stale", a.stale),
+        ("proofs", a.proofs),
+        ("proofs_failed", a.proofs_failed),
+        ("address_trials", a.trials),
+        ("address_trials_failed", a.trials_failed),
+        ("address_families_down", a.families_down),
+        ("address_families_back", a.families_back),
+    ] {
+        lines.push(format!("elderstage_{name}_total {value}"));
+    }
     for (outcome, count) in &c.outcomes {
         lines.push(format!("elderstage_attempts_ended_total{{outcome=\"{outcome}\"}} {count}"));
     }
--- a/crates/front/src/plan.rs
+++ b/crates/front/src/plan.rs
@@ -1,13 +1,15 @@
 //! The configuration, turned into what the core and the module take.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::RwLock;
 
 use elderstage::{
     Class, Discovery, Entry, Group, Listed, Repeat, ReportField, Role, ServerId, Settings, Time,
 };
-use elderstage_config::{Config, GroupName, Micros, RepeatName, RoleName, ServerConfig, StateName};
+use elderstage_config::{
+    Config, GroupName, Micros, ProofName, RepeatName, RoleName, ServerConfig, StateName,
+};
+use elderstage_core::addresses::{Bounds, Proof};
 use elderstage_core::{ClassPlan, Limits, Plan, RoutePlan, ToolPlan};
 use elderstage_protocol::{mcp, orca};
 
@@ -125,13 +127,29 @@
     }
 }
 
-/// Names and addresses that the configuration and the list of servers give.
+/// Bounds on connections.
+pub(crate) fn bounds(config: &Config) -> Bounds {
+    let c = &config.connections;
+    Bounds {
+        dials_per_s: c.dials_per_s,
+        dials_at_once: c.dials_at_once,
+        per_server: c.per_server,
+        in_all: c.in_all,
+        idle_each: c.idle_each,
+        idle_for: c.idle,
+        age: c.age,
+        uses: c.uses,
+        grace: config.rules.drain_grace,
+    }
+}
+
+/// Names that the configuration and the list of servers give.
 pub(crate) struct Site {
     /// As `tools/list` shows the routes.
     pub tools: Vec<mcp::Tool>,
     /// What this front calls itself to engines (RFC 9110, 7.6.3).
     pub via: String,
-    addrs: RwLock<HashMap<ServerId, SocketAddr>>,
+    proofs: RwLock<HashMap<ServerId, Proof>>,
 }
 
 impl Site {
@@ -145,22 +163,30 @@
         Site {
             tools: config.routes.iter().map(tool).collect(),
             via: format!("1.1 {} ({})", config.front.name, config.front.zone),
-            addrs: RwLock::default(),
+            proofs: RwLock::default(),
         }
     }
 
-    pub fn addr(&self, server: &ServerId) -> Option<SocketAddr> {
-        self.addrs.read().unwrap_or_else(std::sync::PoisonError::into_inner).get(server).copied()
+    /// How a connection to this server is proven; without, where no list has named it.
+    pub fn proof(&self, server: &ServerId) -> Proof {
+        let proofs = self.proofs.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+        proofs.get(server).copied().unwrap_or(Proof::None)
     }
 
-    /// Takes a list of servers, and gives the entries for the module. Addresses of servers that have left stay
-    /// known: releases and attempts under way may still name them.
+    /// Takes a list of servers, and gives the entries for the module.
     pub fn list(&self, config: &Config, servers: &[ServerConfig], clock: ClockMap) -> Vec<Entry> {
-        let mut addrs = self.addrs.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut proofs = self.proofs.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+        proofs.clear();
         let mut entries = Vec::new();
         for server in servers {
             let id = ServerId(server.name.as_str().into());
-            addrs.insert(id.clone(), server.addr);
+            let kind = config.kinds.iter().find(|kind| kind.name == server.kind);
+            let proof = match kind.map_or(ProofName::None, |kind| kind.proof) {
+                ProofName::Continue => Proof::Continue,
+                ProofName::Health => Proof::Health,
+                ProofName::None => Proof::None,
+            };
+            proofs.insert(id.clone(), proof);
             entries.push(Entry {
                 server: id,
                 listed: match server.state {
--- a/crates/front/src/servers.rs
+++ b/crates/front/src/servers.rs
@@ -8,8 +8,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use elderstage::ListMode;
-use elderstage_config::{ServerConfig, parse_servers};
+use elderstage::{ListMode, ServerId};
+use elderstage_config::{ServerConfig, StateName, parse_servers};
 use elderstage_core::Event;
 
 use crate::owner::Input;
@@ -21,6 +21,13 @@
 
 fn hand_over(shared: &Shared, servers: &[ServerConfig]) {
     let entries = shared.site.list(&shared.config, servers, ClockMap::read(shared.clock));
+    let listed = |server: &ServerConfig| {
+        let leaves = server.state != StateName::Running;
+        (ServerId(server.name.as_str().into()), server.places.clone(), leaves)
+    };
+    let tools = shared.tools.iter().map(|tool| (tool.server.clone(), vec![tool.place()], false));
+    // Before the module hears of them: what it sends finds its addresses.
+    shared.links.list(servers.iter().map(listed).chain(tools).collect());
     tracing::info!(target: "servers", servers = entries.len(), "list taken");
     shared.inbox.send(Input::Core(Event::Servers { mode: ListMode::Full, entries }));
 }
--- a/crates/front/src/slot.rs
+++ b/crates/front/src/slot.rs
@@ -11,9 +11,17 @@
     Tool { turn: u32, call: usize },
 }
 
+/// By what it is ended.
+enum Handle {
+    Nothing,
+    Socket(Socket),
+    /// Connections are being made: told to whoever waits for them.
+    Race(Box<dyn Fn() + Send>),
+}
+
 #[derive(Default)]
 struct State {
-    out: Option<(Key, Option<Socket>)>,
+    out: Option<(Key, Handle)>,
     cancelled: Option<Key>,
 }
 
@@ -28,14 +36,21 @@
     /// Begins something; `false` when it was cancelled before it began.
     pub fn begin(&self, key: Key) -> bool {
         let mut state = self.lock();
-        state.out = Some((key, None));
+        state.out = Some((key, Handle::Nothing));
+        state.cancelled != Some(key)
+    }
+
+    /// Its connection is being made; `false` when it was cancelled meanwhile.
+    pub fn racing(&self, key: Key, cancel: impl Fn() + Send + 'static) -> bool {
+        let mut state = self.lock();
+        state.out = Some((key, Handle::Race(Box::new(cancel))));
         state.cancelled != Some(key)
     }
 
     /// It has a socket now; `false` when it was cancelled meanwhile.
     pub fn connected(&self, key: Key, socket: Socket) -> bool {
         let mut state = self.lock();
-        state.out = Some((key, Some(socket)));
+        state.out = Some((key, Handle::Socket(socket)));
         state.cancelled != Some(key)
     }
 
@@ -50,10 +65,10 @@
     pub fn cancel(&self, key: Key) {
         let mut state = self.lock();
         state.cancelled = Some(key);
-        if let Some((out, Some(socket))) = &state.out
-            && *out == key
-        {
-            socket.shut();
+        match &state.out {
+            Some((out, Handle::Socket(socket))) if *out == key => socket.shut(),
+            Some((out, Handle::Race(cancel))) if *out == key => cancel(),
+            _ => {}
         }
     }
 }
--- a/crates/front/src/tools.rs
+++ b/crates/front/src/tools.rs
@@ -4,21 +4,26 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use elderstage::ServerId;
 use elderstage_config::{Config, ToolConfig};
+use elderstage_core::addresses::{Ask, Proof};
 use elderstage_core::evidence::{ToolEnd, rpc_error, tool_status};
-use elderstage_net::{Conn, Endpoint, NetError, open, receive, send};
+use elderstage_net::{Conn, Endpoint, NetError, Place, receive, send};
 use elderstage_protocol::jsonrpc::{self, Id, Message};
 use elderstage_protocol::{http, mcp, sse};
 use serde_json::Value;
 
 use crate::Shared;
+use crate::links::{Got, Wanted};
 use crate::slot::{Key, Slot};
 
 /// One tool, and the session with its server.
 pub(crate) struct ToolClient {
     pub name: String,
+    /// Its server among the engines': no engine's name has a space.
+    pub server: ServerId,
     to: Endpoint,
-    connect: Duration,
+    connect: u64,
     session: Mutex<Option<Session>>,
     next: AtomicI64,
 }
@@ -46,11 +51,17 @@
 }
 
 impl ToolClient {
+    /// The address of its server.
+    pub fn place(&self) -> Place {
+        self.to.place.clone()
+    }
+
     pub fn new(tool: &ToolConfig, config: &Config) -> ToolClient {
         ToolClient {
             name: tool.name.clone(),
-            to: Endpoint { addr: tool.addr, path: tool.path.clone() },
-            connect: Duration::from_micros(config.rules.connect),
+            server: ServerId(format!("tool {}", tool.name).into()),
+            to: Endpoint::new(tool.addr, tool.path.clone()),
+            connect: config.rules.connect,
             session: Mutex::default(),
             next: AtomicI64::new(1),
         }
@@ -88,21 +99,28 @@
 
     fn once(&self, shared: &Shared, call: &ToolCall<'_>, end: Instant) -> Said {
         let left = || end.saturating_duration_since(Instant::now());
-        let mut conn = match shared.pool.take(self.to.addr) {
-            Some(conn) => conn,
-            None => match open(self.to.addr, self.connect.min(left())) {
-                Ok(conn) => conn,
-                Err(_) => return Said::End(ToolEnd::NotRun),
-            },
+        let time = left().as_micros() as u64;
+        let ask = Ask { once: false, proof: Proof::None, connect: self.connect, time };
+        let wanted = Wanted {
+            server: &self.server,
+            ask,
+            path: &self.to.path,
+            headers: &[],
+            body: 0,
+            slot: Some((call.slot, call.slot_key)),
+        };
+        let Got::Link(mut link, _) = shared.links.connect(&wanted) else {
+            return Said::End(ToolEnd::NotRun);
         };
-        if !call.slot.connected(call.slot_key, conn.socket()) {
+        if !call.slot.connected(call.slot_key, link.conn.socket()) {
             return Said::End(ToolEnd::NotRun);
         }
+        let conn = &mut link.conn;
         conn.set_deadline(Some(end));
         conn.set_write_timeout(Some(left()));
         let session = match self.known() {
             Some(session) => session,
-            None => match self.initialize(&mut conn) {
+            None => match self.initialize(conn) {
                 Some(session) => {
                     self.know(Some(session.clone()));
                     session
@@ -117,16 +135,16 @@
         headers.push(("x-request-id", call.rid.as_str()));
         headers.push(("idempotency-key", call.key.as_str()));
         headers.push(("via", shared.site.via.as_str()));
-        if send(&mut conn, "POST", &self.to, &headers, body.as_bytes()).is_err() {
+        if send(conn, "POST", &self.to, &headers, body.as_bytes()).is_err() {
             return Said::End(ToolEnd::Unknown);
         }
-        let (said, again) = answer(&mut conn, &id);
+        let (said, again) = answer(conn, &id);
         if matches!(said, Said::End(ToolEnd::NotRun)) {
             // The next try opens a session anew; whether there is one is the core's to say.
             self.know(None);
         }
         if again {
-            shared.pool.put(self.to.addr, conn);
+            shared.links.free(*link);
         }
         said
     }
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -122,7 +122,7 @@
     }
 
     pub fn post_with(&self, headers: &[(&str, &str)], body: &str) -> (u16, String) {
-        let to = Endpoint { addr: self.addr, path: "/mcp".into() };
+        let to = Endpoint::new(self.addr, "/mcp");
         let answer = elderstage_net::exchange("POST", &to, headers, body.as_bytes(), LONG).unwrap();
         (answer.head.status, String::from_utf8(answer.body).unwrap())
     }
@@ -176,7 +176,7 @@
         if let Some(session) = session {
             headers.push((mcp::SESSION_HEADER, session));
         }
-        let to = Endpoint { addr, path: "/mcp".into() };
+        let to = Endpoint::new(addr, "/mcp");
         send(&mut conn, "POST", &to, &headers, call_body(tool, prompt, id, progress).as_bytes()).unwrap();
         Call::expect(conn, id)
     }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,13 +1,12 @@
 //! The asking side of HTTP/1.1: connect, send, read the answer.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use elderstage_protocol::http;
+use elderstage_protocol::place::Place;
 use socket2::{Domain, SockAddr, Socket, Type};
 
 use crate::conn::{Conn, NetError};
-use crate::stream::Place;
 
 /// EINPROGRESS on Linux: the connection is being made.
 const IN_PROGRESS: i32 = 115;
@@ -15,10 +14,16 @@
 /// Where a server is reached, and the path of its service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Endpoint {
-    pub addr: SocketAddr,
+    pub place: Place,
     pub path: String,
 }
 
+impl Endpoint {
+    pub fn new(place: impl Into<Place>, path: impl Into<String>) -> Endpoint {
+        Endpoint { place: place.into(), path: path.into() }
+    }
+}
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -63,10 +68,17 @@
     body: &[u8],
 ) -> Result<(), NetError> {
     let mut out = Vec::with_capacity(256 + body.len());
-    http::write_request(method, &to.path, &to.addr.to_string(), headers, body, &mut out);
+    http::write_request(method, &to.path, &to.place.host(), headers, body, &mut out);
     conn.write(&out)
 }
 
+/// The head of a request whose body follows, and which waits for the word to go on.
+pub fn waiting_head(method: &str, to: &Endpoint, headers: &[(&str, &str)], body: usize) -> Vec<u8> {
+    let mut out = Vec::with_capacity(512);
+    http::write_waiting_head(method, &to.path, &to.place.host(), headers, body, &mut out);
+    out
+}
+
 /// Reads an answer whole.
 pub fn receive(conn: &mut Conn) -> Result<Answer, NetError> {
     let head = conn.response()?;
@@ -83,7 +95,7 @@
     time: Duration,
 ) -> Result<Answer, NetError> {
     let end = Instant::now() + time;
-    let mut conn = open(to.addr, time)?;
+    let mut conn = open(to.place.clone(), time)?;
     conn.set_write_timeout(Some(time));
     conn.set_deadline(Some(end));
     send(&mut conn, method, to, headers, body)?;
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -176,6 +176,14 @@
         !self.has_pending() && matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the peer has closed it, with what it sent before, read or not, left aside.
+    pub fn is_closed(&self) -> bool {
+        match self.io.inner().peek() {
+            Ok(n) => n == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Reads more from the peer.
     pub fn fill(&mut self) -> Result<(), NetError> {
         if self.at > 0 {
@@ -228,19 +236,48 @@
 
     /// The next response's head; interim responses (1xx) are passed over.
     pub fn response(&mut self) -> Result<http::Response, NetError> {
+        loop {
+            let head = self.any_response()?;
+            if head.status >= 200 {
+                return Ok(head);
+            }
+        }
+    }
+
+    /// Waits for the word on a request whose head asked for it (RFC 9110, 10.1.1): `None` when the peer takes the
+    /// body, or else its final answer.
+    pub fn go_on(&mut self) -> Result<Option<http::Response>, NetError> {
+        loop {
+            match self.any_response()? {
+                head if head.status == 100 => return Ok(None),
+                head if head.status >= 200 => return Ok(Some(head)),
+                _ => {}
+            }
+        }
+    }
+
+    fn any_response(&mut self) -> Result<http::Response, NetError> {
         loop {
             match http::parse_response(self.pending(), self.limits)? {
                 Some((head, n)) => {
                     self.at += n;
-                    if head.status >= 200 {
-                        return Ok(head);
-                    }
+                    return Ok(head);
                 }
                 None => self.fill()?,
             }
         }
     }
 
+    /// Tells a peer that waits for it to send its body; nothing where the body is on its way.
+    pub fn take_body(&mut self, head: &http::Request) -> Result<(), NetError> {
+        let waits =
+            head.headers.get("expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
+        if waits && !self.has_pending() {
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")?;
+        }
+        Ok(())
+    }
+
     /// The next piece of a body, appended to `out`; `false` when the body has ended.
     pub fn body_piece(&mut self, body: &mut Body, out: &mut Vec<u8>) -> Result<bool, NetError> {
         loop {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,12 +11,14 @@
 mod stream;
 mod watch;
 
-pub use client::{Answer, Endpoint, exchange, open, receive, send};
+pub use client::{Answer, Endpoint, exchange, open, receive, send, waiting_head};
 pub use conn::{Conn, NetError, Socket};
+pub use elderstage_protocol::place::Place;
 pub use listener::{Listener, Stop};
 pub use may::coroutine::sleep;
 pub use spawn::{STACK_WORDS, go, init};
-pub use stream::{Place, Stream};
+pub use stream::Stream;
+pub use watch::alarm;
 
 /// Channels between coroutines, and from threads to coroutines.
 pub mod channel {
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -1,42 +1,70 @@
 //! Accepting connections in a coroutine, until told to stop.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener, ToSocketAddrs};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, ToSocketAddrs};
+use std::os::fd::{AsRawFd, RawFd};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use may::io::{CoIo, WaitIo};
-use socket2::{Domain, Socket, Type};
+use elderstage_protocol::place::Place;
+use may::io::{CoIo, WaitIo, WaitIoWaker};
+use socket2::{Domain, SockAddr, Socket, Type};
 
 use crate::conn::Conn;
+use crate::stream::Stream;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 4096;
 /// Pause after the system refused to accept for want of descriptors or memory: the queue stays with the system.
 const SHORT: Duration = Duration::from_millis(20);
 
+#[derive(Debug)]
+enum Door {
+    Tcp(TcpListener),
+    Unix(UnixListener),
+}
+
+impl AsRawFd for Door {
+    fn as_raw_fd(&self) -> RawFd {
+        match self {
+            Door::Tcp(listener) => listener.as_raw_fd(),
+            Door::Unix(listener) => listener.as_raw_fd(),
+        }
+    }
+}
+
+impl Door {
+    fn accept(&self) -> io::Result<Stream> {
+        match self {
+            Door::Tcp(listener) => listener.accept().map(|(stream, _)| stream.into()),
+            Door::Unix(listener) => listener.accept().map(|(stream, _)| stream.into()),
+        }
+    }
+}
+
 /// A listening socket.
 pub struct Listener {
-    io: CoIo<Arc<TcpListener>>,
-    addr: SocketAddr,
+    io: CoIo<Arc<Door>>,
+    place: Place,
     stop: Arc<AtomicBool>,
     /// Closed after it is no longer watched, as with connections.
-    _last: Arc<TcpListener>,
+    _last: Arc<Door>,
 }
 
 /// Ends a listener from outside.
 pub struct Stop {
     stop: Arc<AtomicBool>,
-    addr: SocketAddr,
+    waker: WaitIoWaker,
 }
 
 impl Stop {
-    /// The listener accepts nothing more and closes.
+    /// The listener accepts nothing more and closes. The path of a Unix socket stays, as after a process's death.
     pub fn stop(&self) {
         if !self.stop.swap(true, Ordering::SeqCst) {
-            // A connection of our own wakes it; the port is on this machine.
-            let _ = std::net::TcpStream::connect_timeout(&self.addr, Duration::from_millis(200));
+            self.waker.wakeup();
         }
     }
 }
@@ -58,18 +86,53 @@
         }
         socket.bind(&addr.into())?;
         socket.listen(BACKLOG)?;
-        let listener: Arc<TcpListener> = Arc::new(socket.into());
+        let listener: TcpListener = socket.into();
         let addr = listener.local_addr()?;
-        let io = CoIo::new(listener.clone()).map_err(io::Error::from)?;
-        Ok(Listener { io, addr, stop: Arc::new(AtomicBool::new(false)), _last: listener })
+        Listener::watched(Door::Tcp(listener), Place::Tcp(addr))
+    }
+
+    /// At either kind of place. A socket file that an earlier process has left is taken over; one that a process
+    /// still listens at is not, nor is any other file.
+    pub fn at(place: &Place) -> io::Result<Listener> {
+        let path = match place {
+            Place::Tcp(addr) => return Listener::bind(addr),
+            Place::Unix(path) => path,
+        };
+        let socket = Socket::new(Domain::UNIX, Type::STREAM, None)?;
+        let addr = SockAddr::unix(path)?;
+        match socket.bind(&addr) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && is_stale(path) => {
+                std::fs::remove_file(path)?;
+                socket.bind(&addr)?;
+            }
+            other => other?,
+        }
+        socket.listen(BACKLOG)?;
+        let listener = UnixListener::from(std::os::fd::OwnedFd::from(socket));
+        Listener::watched(Door::Unix(listener), place.clone())
+    }
+
+    fn watched(door: Door, place: Place) -> io::Result<Listener> {
+        let door = Arc::new(door);
+        let io = CoIo::new(door.clone()).map_err(io::Error::from)?;
+        Ok(Listener { io, place, stop: Arc::new(AtomicBool::new(false)), _last: door })
     }
 
+    /// Where it listens, with the port that the system gave.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Address and port; the unspecified address for a Unix socket.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        match &self.place {
+            Place::Tcp(addr) => *addr,
+            Place::Unix(_) => (IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0).into(),
+        }
     }
 
     pub fn stopper(&self) -> Stop {
-        Stop { stop: self.stop.clone(), addr: self.addr }
+        Stop { stop: self.stop.clone(), waker: self.io.waker() }
     }
 
     /// Hands each connection to `each` until stopped. Must run in a coroutine. `short` is told when the system
@@ -78,7 +141,7 @@
         while !self.stop.load(Ordering::SeqCst) {
             match self.io.inner().accept() {
                 Ok(_) if self.stop.load(Ordering::SeqCst) => break,
-                Ok((stream, _)) => match Conn::new(stream) {
+                Ok(stream) => match Conn::new(stream) {
                     Ok(conn) => each(conn),
                     Err(error) => short(&io::Error::other(error.to_string())),
                 },
@@ -94,3 +157,9 @@
         }
     }
 }
+
+/// A socket file at which nobody listens.
+fn is_stale(path: &Path) -> bool {
+    let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    UnixStream::connect(path).is_err_and(refused)
+}
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,52 +1,13 @@
-//! A connected socket of either kind, and the places that connections are made to.
+//! A connected socket of either kind.
 
-use std::fmt;
 use std::io::{self, Read, Write};
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd, RawFd};
 use std::os::unix::net::UnixStream;
-use std::path::PathBuf;
-use std::str::FromStr;
 
 use socket2::SockRef;
 
-/// Where a server listens: an address and port, or `unix:` and the path of a socket.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Place {
-    Tcp(SocketAddr),
-    Unix(PathBuf),
-}
-
-impl From<SocketAddr> for Place {
-    fn from(addr: SocketAddr) -> Place {
-        Place::Tcp(addr)
-    }
-}
-
-impl fmt::Display for Place {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Place::Tcp(addr) => addr.fmt(f),
-            Place::Unix(path) => write!(f, "unix:{}", path.display()),
-        }
-    }
-}
-
-impl FromStr for Place {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Place, String> {
-        match text.strip_prefix("unix:") {
-            Some(path) if path.starts_with('/') => Ok(Place::Unix(path.into())),
-            Some(_) => Err("expected an absolute path after unix:".into()),
-            None => {
-                text.parse().map(Place::Tcp).map_err(|_| "expected an address and port, or unix:/path".into())
-            }
-        }
-    }
-}
-
 /// A connected socket.
 #[derive(Debug)]
 pub enum Stream {
--- a/crates/net/src/watch.rs
+++ b/crates/net/src/watch.rs
@@ -33,6 +33,7 @@
 struct List {
     heap: BinaryHeap<Place>,
     watches: std::collections::HashMap<usize, Weak<Watch>>,
+    calls: std::collections::HashMap<usize, Box<dyn FnOnce() + Send>>,
     next: usize,
 }
 
@@ -65,10 +66,16 @@
     }
 
     fn add(&self, at: u64, watch: &Arc<Watch>) {
+        self.list(at, |list, key| {
+            list.watches.insert(key, Arc::downgrade(watch));
+        });
+    }
+
+    fn list(&self, at: u64, put: impl FnOnce(&mut List, usize)) {
         let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
         let key = list.next;
         list.next += 1;
-        list.watches.insert(key, Arc::downgrade(watch));
+        put(&mut list, key);
         let first = list.heap.peek().is_none_or(|Reverse((first, _))| at < *first);
         list.heap.push(Reverse((at, key)));
         drop(list);
@@ -89,6 +96,12 @@
                 }
                 Some(_) => {
                     let Some(Reverse((at, key))) = list.heap.pop() else { continue };
+                    if let Some(call) = list.calls.remove(&key) {
+                        drop(list);
+                        call();
+                        list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+                        continue;
+                    }
                     let Some(watch) = list.watches.get(&key).and_then(Weak::upgrade) else {
                         list.watches.remove(&key);
                         continue;
@@ -133,3 +146,12 @@
         }
     }
 }
+
+/// Calls `f` at that time or a little after, from the thread that keeps time limits: it must be quick. It cannot be
+/// taken back.
+pub fn alarm(at: Instant, f: impl FnOnce() + Send + 'static) {
+    let keeper = keeper();
+    keeper.list(keeper.micros(at) + 1, |list, key| {
+        list.calls.insert(key, Box::new(f));
+    });
+}
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -392,6 +392,21 @@
     out.extend_from_slice(body);
 }
 
+/// A request's head alone, with the length of its body; the body goes when the peer has said to go on (RFC 9110,
+/// 10.1.1).
+pub fn write_waiting_head(
+    method: &str,
+    target: &str,
+    host: &str,
+    headers: &[(&str, &str)],
+    body: usize,
+    out: &mut Vec<u8>,
+) {
+    out.extend_from_slice(format!("{method} {target} HTTP/1.1\r\nhost: {host}\r\n").as_bytes());
+    fields(headers, out);
+    out.extend_from_slice(format!("content-length: {body}\r\nexpect: 100-continue\r\n\r\n").as_bytes());
+}
+
 fn fields(headers: &[(&str, &str)], out: &mut Vec<u8>) {
     for (name, value) in headers {
         out.extend_from_slice(name.as_bytes());
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`mcp`]: the Model Context Protocol, revisions 2025-06-18 and 2025-11-25, both sides.
 //! - [`engine`]: chat completions as model servers stream them, with `kv_transfer_params`.
 //! - [`orca`]: load reports in the `endpoint-load-metrics` header.
+//! - [`place`]: addresses of servers, as they are written.
 //!
 //! Nothing here decides anything: what a message means for a request is told by `elderstage-core`.
 
@@ -14,4 +15,5 @@
 pub mod jsonrpc;
 pub mod mcp;
 pub mod orca;
+pub mod place;
 pub mod sse;
--- a/crates/rehearsal/src/clients.rs
+++ b/crates/rehearsal/src/clients.rs
@@ -219,7 +219,7 @@
 
     /// Opens a session at a front, as any MCP client does first.
     pub fn initialize(addr: SocketAddr) -> Result<Option<String>, NetError> {
-        let to = Endpoint { addr, path: "/mcp".into() };
+        let to = Endpoint::new(addr, "/mcp");
         let body = mcp::initialize_request(&Id::Number(0), "rehearsal", "0.1.0");
         let headers =
             [("content-type", "application/json"), ("accept", "application/json, text/event-stream")];
@@ -309,7 +309,7 @@
         let out = Out { addr: door.addr, session: door.session.clone(), id, manner: planned.manner };
         lock(&self.out).insert(rid.into(), out);
         see(Seen::Sent { rid: rid.into(), class: promise.class.clone(), front: door.name.clone(), total });
-        let to = Endpoint { addr: door.addr, path: "/mcp".into() };
+        let to = Endpoint::new(door.addr, "/mcp");
         let sent = send(&mut conn, "POST", &to, &headers, body.as_bytes());
         let end = match sent {
             Ok(()) => self.follow(planned, rid, &mut conn, begun, promise),
@@ -444,7 +444,7 @@
         let Some(session) = session else { return };
         self.log.see(WHO, Seen::Left { rid: rid.into() });
         let body = jsonrpc::notification("notifications/cancelled", json!({"requestId": id}));
-        let to = Endpoint { addr, path: "/mcp".into() };
+        let to = Endpoint::new(addr, "/mcp");
         let headers = [("content-type", "application/json"), (mcp::SESSION_HEADER, session.as_str())];
         // A front that has died has no use for it.
         let _ = exchange("POST", &to, &headers, body.as_bytes(), Duration::from_secs(1));
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -60,6 +60,7 @@
                 zone: engine.zone.clone(),
                 cell: engine.cell,
                 links: site.links,
+                also: Vec::new(),
             };
             hosts.insert(engine.name.clone(), Host::start(options, false, log.clone())?);
         }
--- a/crates/rehearsal/src/measure.rs
+++ b/crates/rehearsal/src/measure.rs
@@ -146,11 +146,11 @@
     };
     let path = engine::COMPLETIONS.to_owned();
     let json = [("content-type", "application/json"), ("x-request-id", "direct/1/0")];
-    let to = Endpoint { addr: reader, path: path.clone() };
+    let to = Endpoint::new(reader, path.clone());
     send(&mut conns.0, "POST", &to, &json, &engine::body(&ask(Stage::Read)))?;
     let answer = receive(&mut conns.0)?;
     let Some((_, state)) = engine::read_answer(&answer.body) else { return Err(NetError::Closed) };
-    let to = Endpoint { addr: writer, path };
+    let to = Endpoint::new(writer, path);
     send(&mut conns.1, "POST", &to, &json, &engine::body(&ask(Stage::Write(state))))?;
     let mut first = None;
     follow(&mut conns.1, |_| {
@@ -161,7 +161,7 @@
 
 fn through(front: SocketAddr, prompt: &str, conn: &mut Conn) -> Result<Duration, NetError> {
     let begun = Instant::now();
-    let to = Endpoint { addr: front, path: "/mcp".into() };
+    let to = Endpoint::new(front, "/mcp");
     send(conn, "POST", &to, &HEADERS, &call_body(prompt))?;
     let mut first = None;
     follow(conn, |_| {
@@ -365,7 +365,7 @@
             let done = open(addr, LONG).and_then(|mut conn| {
                 conn.set_read_timeout(Some(LONG));
                 if through_front {
-                    let to = Endpoint { addr, path: "/mcp".into() };
+                    let to = Endpoint::new(addr, "/mcp");
                     send(&mut conn, "POST", &to, &HEADERS, &call_body("all of it"))?;
                 } else {
                     let ask = Ask {
@@ -375,7 +375,7 @@
                         max_tokens: 1 << 20,
                         stage: Stage::Whole,
                     };
-                    let to = Endpoint { addr, path: engine::COMPLETIONS.into() };
+                    let to = Endpoint::new(addr, engine::COMPLETIONS);
                     send(&mut conn, "POST", &to, &HEADERS[..1], &engine::body(&ask))?;
                 }
                 // The bytes are read and thrown away on both sides alike; ends are told by the last chunk.
@@ -479,7 +479,7 @@
         go(move || {
             let done = open(addr, LONG).and_then(|mut conn| {
                 conn.set_read_timeout(Some(LONG));
-                let to = Endpoint { addr, path: "/mcp".into() };
+                let to = Endpoint::new(addr, "/mcp");
                 send(&mut conn, "POST", &to, &HEADERS, &call_body(&format!("stream {number} [words 50]")))?;
                 let (mut first, mut ended) = (true, false);
                 follow(&mut conn, |events| {
@@ -523,7 +523,7 @@
 
 /// What the front says became of its requests, by its own counters.
 fn counted(addr: SocketAddr) -> Value {
-    let to = Endpoint { addr, path: "/metrics".into() };
+    let to = Endpoint::new(addr, "/metrics");
     let answer = elderstage_net::exchange("GET", &to, &[], b"", Duration::from_secs(5));
     let text = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned()).unwrap_or_default();
     let lines = text.lines().filter_map(|line| line.split_once(' '));
--- a/crates/standin/src/host/mod.rs
+++ b/crates/standin/src/host/mod.rs
@@ -1,20 +1,23 @@
 //! An engine on a socket: the model in a thread of its own, and a coroutine for each connection.
 
+mod door;
 mod machine;
 mod serve;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use elderstage_net::owner::{self, Clock, Inbox};
-use elderstage_net::{Listener, Socket, Stop, go};
+use elderstage_net::{Listener, Place, Socket};
 use elderstage_protocol::orca;
 
 use crate::model::{Ail, Engine, Spec};
 use crate::traffic::{Log, Seen, unix_us};
+use door::Door;
+pub use door::DoorFault;
 use machine::{Ask, Machine};
 
 /// Events that wait for the model at most.
@@ -27,6 +30,8 @@
     pub spec: Spec,
     /// Port 0 asks the system for one; it is kept over restarts.
     pub listen: SocketAddr,
+    /// Further places to listen at.
+    pub also: Vec<Place>,
     pub zone: String,
     pub cell: u32,
     /// Tokens of state a second: to a writer of the same cell, of another cell, of another zone.
@@ -65,6 +70,8 @@
         cold: bool,
     },
     Faults(Faults),
+    /// What is wrong with one of the places where it listens, by its number in the order of [`Host::places`].
+    Door(usize, DoorFault),
 }
 
 pub(crate) struct Shared {
@@ -73,9 +80,11 @@
     log: Log,
     faults: Mutex<Faults>,
     inbox: Inbox<Ask>,
-    sockets: Mutex<HashMap<u64, Socket>>,
+    /// Open connections, each with the number of its door.
+    sockets: Mutex<HashMap<u64, (usize, Socket)>>,
     next: AtomicU64,
-    listening: Mutex<Option<Stop>>,
+    doors: Vec<Mutex<Door>>,
+    running: Mutex<bool>,
     /// The last report, for those that are frozen, and when the process started, in seconds of Unix time.
     report: Mutex<orca::Report>,
     started: Mutex<f64>,
@@ -94,8 +103,14 @@
 impl Host {
     /// Starts an engine on its socket.
     pub fn start(options: Options, cold: bool, log: Log) -> std::io::Result<Host> {
-        let listener = Listener::bind(options.listen)?;
-        let addr = listener.addr();
+        let mut doors = Vec::new();
+        for place in [Place::Tcp(options.listen)].iter().chain(&options.also) {
+            doors.push(Mutex::new(Door::new(Listener::at(place)?)));
+        }
+        let addr = match lock(&doors[0]).place() {
+            Place::Tcp(addr) => *addr,
+            Place::Unix(_) => options.listen,
+        };
         let (inbox, events) = owner::queue(QUEUE);
         let clock = Clock::new(1);
         let engine = Engine::new(options.spec.clone(), clock.now(), cold);
@@ -106,7 +121,8 @@
             inbox: inbox.clone(),
             sockets: Mutex::default(),
             next: AtomicU64::new(1),
-            listening: Mutex::new(None),
+            doors,
+            running: Mutex::new(false),
             report: Mutex::default(),
             started: Mutex::new(started(cold)),
             options,
@@ -114,10 +130,15 @@
         let machine = Machine::new(engine, shared.options.name.clone(), shared.log.clone());
         owner::run(&format!("engine-{}", shared.options.name), clock, events, machine)?;
         shared.log_up(cold);
-        listen(&shared, listener);
+        listen(&shared)?;
         Ok(Host { shared })
     }
 
+    /// Where it listens.
+    pub fn places(&self) -> Vec<Place> {
+        self.shared.doors.iter().map(|door| lock(door).place().clone()).collect()
+    }
+
     pub fn addr(&self) -> SocketAddr {
         self.shared.addr
     }
@@ -146,23 +167,28 @@
                 shared.inbox.send(Ask::Flush);
             }
             Control::Faults(faults) => *lock(&shared.faults) = faults,
+            Control::Door(number, fault) => {
+                let running = *lock(&shared.running);
+                if let Some(door) = shared.doors.get(number) {
+                    lock(door).change(shared, number, fault, running)?;
+                }
+            }
             Control::Kill => {
-                if let Some(stop) = lock(&shared.listening).take() {
-                    stop.stop();
+                if std::mem::take(&mut *lock(&shared.running)) {
+                    shared.doors.iter().for_each(|door| lock(door).shut());
                     shared.inbox.send(Ask::Restart { cold: true });
                     for socket in lock(&shared.sockets).drain() {
-                        socket.1.shut();
+                        socket.1.1.shut();
                     }
                     shared.log.see(&shared.options.name, Seen::Down);
                 }
             }
             Control::Start { cold } => {
-                if lock(&shared.listening).is_none() {
-                    let listener = Listener::bind(shared.addr)?;
+                if !*lock(&shared.running) {
                     shared.inbox.send(Ask::Restart { cold });
                     *lock(&shared.started) = started(cold);
                     shared.log_up(cold);
-                    listen(shared, listener);
+                    listen(shared)?;
                 }
             }
         }
@@ -195,22 +221,10 @@
     }
 }
 
-fn listen(shared: &Arc<Shared>, listener: Listener) {
-    *lock(&shared.listening) = Some(listener.stopper());
-    let shared = shared.clone();
-    go(move || {
-        let accept = {
-            let shared = shared.clone();
-            move |conn: elderstage_net::Conn| {
-                let number = shared.next.fetch_add(1, Ordering::Relaxed);
-                lock(&shared.sockets).insert(number, conn.socket());
-                let shared = shared.clone();
-                go(move || {
-                    serve::connection(&shared, conn);
-                    lock(&shared.sockets).remove(&number);
-                });
-            }
-        };
-        listener.serve(accept, |_| {});
-    });
+fn listen(shared: &Arc<Shared>) -> std::io::Result<()> {
+    *lock(&shared.running) = true;
+    for (number, door) in shared.doors.iter().enumerate() {
+        lock(door).open(shared, number)?;
+    }
+    Ok(())
 }
--- a/crates/standin/src/host/serve.rs
+++ b/crates/standin/src/host/serve.rs
@@ -10,6 +10,7 @@
 use elderstage_protocol::{engine, http, orca, sse};
 use serde_json::{Value, json};
 
+use super::door::{DoorFault, SLOW};
 use super::machine::{Ask, News};
 use super::{Faults, Shared, lock};
 use crate::model::{Job, JobId, Load, Task, Why, blocks};
@@ -20,6 +21,10 @@
 const IDLE: Duration = Duration::from_secs(120);
 /// How often a waiting connection looks whether its peer is still there.
 const LOOK: Duration = Duration::from_millis(100);
+/// How often a connection that is held by a fault looks whether that is over.
+const HOLD: Duration = Duration::from_millis(20);
+/// Tokens of a stream before it stands still by a fault.
+const STALL_AFTER: u64 = 2;
 /// Longest wait for another engine's answer about a state.
 const CLAIM: Duration = Duration::from_secs(5);
 /// A front that takes no bytes for so long has left.
@@ -34,7 +39,22 @@
     Close,
 }
 
-pub(crate) fn connection(shared: &Arc<Shared>, mut conn: Conn) {
+/// Reads nothing and says nothing until the peer leaves or the door's fault is over.
+fn hold(shared: &Shared, conn: &Conn, door: usize, fault: DoorFault) {
+    while !conn.is_closed() && lock(&shared.doors[door]).fault() == fault {
+        sleep(HOLD);
+    }
+    conn.socket().shut();
+}
+
+pub(crate) fn connection(shared: &Arc<Shared>, mut conn: Conn, door: usize) {
+    let fault = lock(&shared.doors[door]).fault();
+    match fault {
+        DoorFault::Stalls => return hold(shared, &conn, door, fault),
+        DoorFault::Closes => return conn.socket().shut(),
+        DoorFault::Slow => sleep(SLOW),
+        _ => {}
+    }
     let faults = lock(&shared.faults).clone();
     if faults.table_full {
         conn.socket().shut();
@@ -59,9 +79,40 @@
             }
             Err(_) => return,
         };
+        let fault = lock(&shared.doors[door]).fault();
+        let waits = head.headers.get("expect").is_some();
+        match fault {
+            DoorFault::Unexpected if waits => {
+                if answer(&mut conn, 417, &[], b"").is_err() {
+                    return;
+                }
+                continue;
+            }
+            DoorFault::Stalls | DoorFault::Silent => return hold(shared, &conn, door, fault),
+            DoorFault::StallsAfterContinue if waits => {
+                let _ = conn.take_body(&head);
+                return hold(shared, &conn, door, fault);
+            }
+            _ => {}
+        }
+        if conn.take_body(&head).is_err() {
+            return;
+        }
         let Ok(body) = conn.body(head.framing) else { return };
+        let completes = head.target == engine::COMPLETIONS;
+        if fault == DoorFault::StallsAfterHead && completes {
+            let rid = shared.see_order(&head, &body);
+            let mut out = Vec::new();
+            http::write_stream_head(200, &[("content-type", "text/event-stream")], &mut out);
+            let _ = conn.write(&out);
+            hold(shared, &conn, door, fault);
+            shared.log.see(&shared.options.name, Seen::Answered { rid, how: "stalled".into() });
+            return;
+        }
         let keep = head.keep_alive;
-        match request(shared, &mut conn, &head, &body) {
+        let broken = fault == DoorFault::StallsInBody && completes;
+        let request = Request { head: &head, body: &body, stalls: broken.then_some(door) };
+        match request_on(shared, &mut conn, &request) {
             Ok(Next::Go) if keep => {}
             _ => {
                 conn.socket().shut();
@@ -86,12 +137,15 @@
     (name, zone)
 }
 
-fn request(
-    shared: &Arc<Shared>,
-    conn: &mut Conn,
-    head: &http::Request,
-    body: &[u8],
-) -> Result<Next, NetError> {
+/// One request, and whether its stream is to stand still, by the door that it came in by.
+struct Request<'a> {
+    head: &'a http::Request,
+    body: &'a [u8],
+    stalls: Option<usize>,
+}
+
+fn request_on(shared: &Arc<Shared>, conn: &mut Conn, request: &Request<'_>) -> Result<Next, NetError> {
+    let Request { head, body, .. } = *request;
     let faults = lock(&shared.faults).clone();
     let (front, zone) = via(head);
     if faults.cut.contains(&zone) {
@@ -99,13 +153,7 @@
         // all the same, since the rules judge what was sent.
         let rid = head.headers.get("x-request-id").unwrap_or("?").to_owned();
         match head.target.as_str() {
-            engine::COMPLETIONS => {
-                let (class, task) = ("?".into(), cut_task(body).into());
-                shared.log.see(
-                    &shared.options.name,
-                    Seen::Received { rid: rid.clone(), front, class, task, work: 0.0 },
-                );
-            }
+            engine::COMPLETIONS => drop(shared.see_order(head, body)),
             engine::ABORT => shared.see_release(body),
             _ => {}
         }
@@ -125,7 +173,7 @@
             answer(conn, 200, &headers, b"")?;
         }
         ("POST", engine::COMPLETIONS) => {
-            return completion(shared, conn, head, body, &front, &faults);
+            return completion(shared, conn, request, &front, &faults);
         }
         ("POST", engine::ABORT | CLAIM_PATH | TAKEN_PATH) => {
             let asked: Value = serde_json::from_slice(body).unwrap_or_default();
@@ -200,11 +248,11 @@
 fn completion(
     shared: &Arc<Shared>,
     conn: &mut Conn,
-    head: &http::Request,
-    body: &[u8],
+    request: &Request<'_>,
     front: &str,
     faults: &Faults,
 ) -> Result<Next, NetError> {
+    let Request { head, body, stalls } = *request;
     let json = [("content-type", "application/json")];
     let rid = head.headers.get("x-request-id").unwrap_or("?").to_owned();
     let asked: engine::Asked = match serde_json::from_slice(body) {
@@ -253,7 +301,7 @@
     let blocks = blocks(text.as_bytes());
     let job = Job { id, task, class: asked.model.clone(), blocks, prompt, answer: turn.tokens };
     shared.inbox.send(Ask::Start { job, rid: rid.clone(), news });
-    let mut work = Work { shared, conn, heard, id, rid: &rid, asked: &asked, turn: &turn, prompt };
+    let mut work = Work { shared, conn, heard, id, rid: &rid, asked: &asked, turn: &turn, prompt, stalls };
     let (how, next) = work.follow(&params, faults);
     said(how);
     if !matches!(next, Ok(Next::Go)) {
@@ -272,6 +320,8 @@
     asked: &'a engine::Asked,
     turn: &'a script::Turn,
     prompt: u64,
+    /// The stream stands still, by the fault of this door.
+    stalls: Option<usize>,
 }
 
 impl Work<'_> {
@@ -365,6 +415,11 @@
         loop {
             match news {
                 Some(News::Token(index)) => {
+                    if let Some(door) = self.stalls.filter(|_| index == STALL_AFTER) {
+                        let _ = self.conn.write(&out);
+                        hold(self.shared, self.conn, door, DoorFault::StallsInBody);
+                        return ("stalled", Ok(Next::Close));
+                    }
                     if breaks == Some(index) {
                         let _ = self.conn.write(&out);
                         return ("broken", Ok(Next::Close));
@@ -431,7 +486,7 @@
     let Ok(addr) = format!("{host}:{port}").parse::<SocketAddr>() else { return false };
     let via = format!("1.1 {} ({})", shared.options.name, shared.options.zone);
     let ask = |path: &str| {
-        let to = Endpoint { addr, path: path.into() };
+        let to = Endpoint::new(addr, path);
         exchange("POST", &to, &[("via", &via)], json!({"rid": rid}).to_string().as_bytes(), CLAIM)
     };
     let Ok(claimed) = ask(CLAIM_PATH) else { return false };
@@ -447,6 +502,15 @@
 }
 
 impl Shared {
+    /// Notes an order that was received and goes nowhere.
+    fn see_order(&self, head: &http::Request, body: &[u8]) -> String {
+        let rid = head.headers.get("x-request-id").unwrap_or("?").to_owned();
+        let (front, _) = via(head);
+        let (class, task) = ("?".into(), cut_task(body).into());
+        self.log.see(&self.options.name, Seen::Received { rid: rid.clone(), front, class, task, work: 0.0 });
+        rid
+    }
+
     fn see_release(&self, body: &[u8]) {
         let asked: Value = serde_json::from_slice(body).unwrap_or_default();
         if let Some(rid) = asked.get("rid").and_then(Value::as_str) {
--- a/crates/standin/src/peer.rs
+++ b/crates/standin/src/peer.rs
@@ -35,6 +35,7 @@
                 go(move || {
                     conn.set_read_timeout(Some(Duration::from_secs(20)));
                     let Ok(head) = conn.request() else { return };
+                    let _ = conn.take_body(&head);
                     let _ = conn.body(head.framing);
                     let _ = conn.write(&script.bytes);
                     while !script.close && conn.is_idle() {
--- a/crates/standin/src/tool.rs
+++ b/crates/standin/src/tool.rs
@@ -127,6 +127,9 @@
     loop {
         conn.set_read_timeout(Some(IDLE));
         let Ok(head) = conn.request() else { return };
+        if conn.take_body(&head).is_err() {
+            return;
+        }
         let Ok(body) = conn.body(head.framing) else { return };
         if !matches!(request(shared, &mut conn, &head, &body), Ok(true)) {
             conn.socket().shut();
