--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -10,10 +10,12 @@
 use elderstage_net::{Conn, Endpoint, NetError, open, send};
 use elderstage_protocol::http::Body;
 use elderstage_protocol::jsonrpc::{self, Id, Message};
+use elderstage_protocol::place::Family;
 use elderstage_protocol::{mcp, sse};
 use elderstage_rehearsal::fleet::{Fleet, Site, demo};
 use elderstage_rehearsal::play::figures;
 use elderstage_rehearsal::rules::{Figures, judge};
+use elderstage_standin::host::DoorFault;
 use elderstage_standin::traffic::{Log, Record, Writer};
 use serde_json::{Value, json};
 
@@ -112,6 +114,28 @@
         Call::on(conn, self.addr, tool, prompt, 1, None, true)
     }
 
+    /// One of the front's plain counters.
+    pub fn metric(&self, name: &str) -> u64 {
+        let to = Endpoint::new(self.addr, "/metrics");
+        let answer = elderstage_net::exchange("GET", &to, &[], b"", LONG).unwrap();
+        let text = String::from_utf8(answer.body).unwrap();
+        let line = text.lines().find(|line| line.split(' ').next() == Some(name));
+        line.and_then(|line| line.split(' ').nth(1)?.parse().ok()).unwrap_or_else(|| panic!("{name}: {text}"))
+    }
+
+    /// Waits until a counter is as wanted.
+    pub fn until_metric(&self, name: &str, wanted: impl Fn(u64) -> bool) {
+        let end = Instant::now() + LONG;
+        while !wanted(self.metric(name)) {
+            assert!(Instant::now() < end, "{name} stays {}", self.metric(name));
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub fn fault(&self, engine: Option<&str>, way: Family, fault: DoorFault) {
+        self.fleet.fault(engine, way, fault).unwrap();
+    }
+
     pub fn initialize(&self) -> String {
         elderstage_rehearsal::clients::Clients::initialize(self.addr).unwrap().unwrap()
     }
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -3,11 +3,16 @@
 use std::time::Duration;
 
 use elderstage_config::{ConfigError, Directive, Errors, directives, number, time};
+use elderstage_protocol::place::Family;
+use elderstage_standin::host::DoorFault;
 use elderstage_standin::model::{Role, Spec};
 use elderstage_standin::tool::ToolFault;
 
 use crate::fleet::{CLASSES, Engine, Kind, Site};
 
+/// Shortest period of a fault that flaps, in microseconds: a listener takes some milliseconds to come and go.
+const SHORTEST_PERIOD: u64 = 50_000;
+
 /// What is done to the fleet or a front at one time.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -27,6 +32,12 @@
     TableFull(String, bool),
     Freeze(String, bool),
     Handshake(String, Duration),
+    /// What is wrong with one way into an engine, or into all of them.
+    Address {
+        engine: Option<String>,
+        way: Family,
+        fault: DoorFault,
+    },
     /// No traffic passes between this zone and the others.
     Cut(String, bool),
     Break {
@@ -215,9 +226,46 @@
         load
     }
 
+    /// Ways into an engine, after its cell; IPv4 where none is named.
+    fn ways(&mut self, directive: &Directive) -> Vec<Family> {
+        let mut ways = Vec::new();
+        for word in directive.values.iter().skip(4) {
+            match family(word) {
+                Some(way) if !ways.contains(&way) => ways.push(way),
+                _ => self
+                    .wrong(directive.line, "engine: expected unix, ipv6 or ipv4, each once, after the cell"),
+            }
+        }
+        if ways.is_empty() { vec![Family::V4] } else { ways }
+    }
+
+    /// `at 2s address w1 ipv6 flaps 500ms silent for 5s`: off and on, half of each period.
+    fn flaps(&mut self, directive: &Directive, begins: u64, steps: &mut Vec<(Duration, Step)>) -> bool {
+        let words: Vec<&str> = directive.values.iter().skip(1).map(String::as_str).collect();
+        let ["address", engine, way, "flaps", period, fault, "for", lasts] = words.as_slice() else {
+            return false;
+        };
+        let (Some(way), Some(period), Some(fault), Some(lasts)) =
+            (family(way), time(period), door_fault(fault), time(lasts))
+        else {
+            return false;
+        };
+        let engine = (*engine != "*").then(|| (*engine).to_owned());
+        let step = |fault| Step::Address { engine: engine.clone(), way, fault };
+        let period = period.max(SHORTEST_PERIOD);
+        for begin in (begins..begins + lasts).step_by(period as usize) {
+            steps.push((Duration::from_micros(begin), step(fault)));
+            steps.push((Duration::from_micros(begin + period / 2), step(DoorFault::None)));
+        }
+        true
+    }
+
     /// `at 2s hang w1 for 3s`: the step, and the one that ends it.
     fn at(&mut self, directive: &Directive, steps: &mut Vec<(Duration, Step)>) {
         let begins = self.time(directive, 0);
+        if self.flaps(directive, begins, steps) {
+            return;
+        }
         let mut words = directive.values.iter().skip(1).cloned().collect::<Vec<_>>();
         let mut lasts = None;
         if words.len() >= 2 && words[words.len() - 2] == "for" {
@@ -241,6 +289,29 @@
     }
 }
 
+fn family(word: &str) -> Option<Family> {
+    [Family::Unix, Family::V6, Family::V4].into_iter().find(|family| family.to_string() == word)
+}
+
+fn door_fault(word: &str) -> Option<DoorFault> {
+    Some(match word {
+        "well" => DoorFault::None,
+        "refuses" => DoorFault::Refuses,
+        "silent" => DoorFault::Silent,
+        "stalls" => DoorFault::Stalls,
+        "closes" => DoorFault::Closes,
+        "closes-on-request" => DoorFault::ClosesOnRequest,
+        "stalls-after-head" => DoorFault::StallsAfterHead,
+        "stalls-in-body" => DoorFault::StallsInBody,
+        "stalls-after-continue" => DoorFault::StallsAfterContinue,
+        "slow" => DoorFault::Slow,
+        "missing" => DoorFault::Missing,
+        "denied" => DoorFault::Denied,
+        "unexpected" => DoorFault::Unexpected,
+        _ => return None,
+    })
+}
+
 /// A step, and the one that ends it where it may last for a time.
 fn step(words: &[&str]) -> Option<(Step, Option<Step>)> {
     let own = |text: &str| text.to_owned();
@@ -265,6 +336,12 @@
         ["handshake", engine, time] => {
             (Step::Handshake(own(engine), wait(time)?), Some(Step::Handshake(own(engine), Duration::ZERO)))
         }
+        ["address", engine, way, fault] => {
+            let engine = (*engine != "*").then(|| own(engine));
+            let (way, fault) = (family(way)?, door_fault(fault)?);
+            let end = Step::Address { engine: engine.clone(), way, fault: DoorFault::None };
+            (Step::Address { engine, way, fault }, Some(end))
+        }
         ["cut", zone] => (Step::Cut(own(zone), true), Some(Step::Cut(own(zone), false))),
         ["break", engine, streams, "after", tokens] => {
             let (streams, after) = (streams.parse().ok()?, tokens.parse().ok()?);
@@ -336,8 +413,9 @@
             "engine" => {
                 let (name, of, zone) = (r.word(directive, 0), r.word(directive, 1), r.word(directive, 2));
                 let cell = if directive.values.len() > 3 { r.number(directive, 3) as u32 } else { 0 };
+                let ways = r.ways(directive);
                 match kinds.iter().position(|kind| kind.name == of) {
-                    Some(kind) => engines.push(Engine { name, kind, zone, cell }),
+                    Some(kind) => engines.push(Engine { name, kind, zone, cell, ways }),
                     None => r.wrong(directive.line, format!("engine {name}: no kind {of} stands above")),
                 }
             }
@@ -401,6 +479,7 @@
         Step::FrontTerm(front) | Step::FrontKill(front) | Step::FrontStart(front) => {
             (None, Some(front), None)
         }
+        Step::Address { engine, .. } => (engine.as_ref(), None, None),
         Step::Cut(zone, _) => (None, None, Some(zone)),
         Step::SlowLinks(_) | Step::Tool(_) | Step::ToolKill | Step::ToolStart | Step::KillAfterTool(_) => {
             (None, None, None)
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -3,8 +3,12 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
 
-use elderstage_standin::host::{Host, Options};
+use elderstage_net::Place;
+use elderstage_protocol::place::Family;
+use elderstage_standin::host::{Control, DoorFault, Host, Options};
 use elderstage_standin::model::{Role, Spec};
 use elderstage_standin::tool::ToolServer;
 use elderstage_standin::traffic::Log;
@@ -23,6 +27,8 @@
     pub kind: usize,
     pub zone: String,
     pub cell: u32,
+    /// How it is reached, in the order of preference.
+    pub ways: Vec<Family>,
 }
 
 /// What fronts are to know beside the servers.
@@ -44,14 +50,39 @@
     pub tools: ToolServer,
     /// What the list says of each server.
     pub listed: BTreeMap<String, &'static str>,
+    /// Takes the Unix sockets.
+    dir: PathBuf,
 }
 
 /// Ports are asked for, not fixed.
 pub const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
+/// A folder of its own for a fleet's Unix sockets: short, since their paths are.
+fn folder() -> std::io::Result<PathBuf> {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let dir = std::env::temp_dir().join(format!("elderstage-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&dir)?;
+    Ok(dir)
+}
+
+/// Places beside the IPv4 address, which every engine has: other engines fetch states by it.
+fn further(engine: &Engine, dir: &Path) -> std::io::Result<Vec<Place>> {
+    let mut places = Vec::new();
+    for way in &engine.ways {
+        match way {
+            Family::V4 => {}
+            Family::V6 => places.push(Place::Tcp((std::net::Ipv6Addr::LOCALHOST, 0).into())),
+            Family::Unix => places.push(Place::Unix(dir.join(format!("{}.sock", engine.name)))),
+        }
+    }
+    Ok(places)
+}
+
 impl Fleet {
     pub fn start(site: Site, log: &Log) -> std::io::Result<Fleet> {
         let mut hosts = BTreeMap::new();
+        let dir = folder()?;
         for engine in &site.engines {
             let options = Options {
                 name: engine.name.clone(),
@@ -60,13 +91,36 @@
                 zone: engine.zone.clone(),
                 cell: engine.cell,
                 links: site.links,
-                also: Vec::new(),
+                also: further(engine, &dir)?,
             };
             hosts.insert(engine.name.clone(), Host::start(options, false, log.clone())?);
         }
         let tools = ToolServer::start("tools", ANY_PORT, true, log.clone())?;
         let listed = hosts.keys().map(|name| (name.clone(), "running")).collect();
-        Ok(Fleet { site, hosts, tools, listed })
+        Ok(Fleet { site, hosts, tools, listed, dir })
+    }
+
+    /// Number of the place by which an engine is reached so, for [`Control::Door`].
+    pub fn door(&self, engine: &str, way: Family) -> Option<usize> {
+        self.hosts.get(engine)?.places().iter().position(|place| place.family() == way)
+    }
+
+    /// Changes what is wrong with one way into an engine, or into all that have it.
+    pub fn fault(&self, engine: Option<&str>, way: Family, fault: DoorFault) -> std::io::Result<()> {
+        for (name, host) in &self.hosts {
+            if engine.is_none_or(|engine| engine == name)
+                && let Some(door) = self.door(name, way)
+            {
+                host.control(Control::Door(door, fault))?;
+            }
+        }
+        Ok(())
+    }
+
+    fn addresses(&self, engine: &Engine) -> String {
+        let places = self.hosts.get(&engine.name).map(Host::places).unwrap_or_default();
+        let of = |way: &Family| places.iter().find(|place| place.family() == *way).map(ToString::to_string);
+        engine.ways.iter().filter_map(of).collect::<Vec<_>>().join(" ")
     }
 
     /// The list of servers as a file.
@@ -81,7 +135,7 @@
                 "server {} {{\n    address {}\n    kind {}\n    zone {}\n    cell {}\n    state {state}\n    \
                  started {:.6}\n}}\n",
                 engine.name,
-                host.addr(),
+                self.addresses(engine),
                 self.site.kinds[engine.kind].name,
                 engine.zone,
                 engine.cell,
@@ -121,6 +175,8 @@
     pub fn stop(&self) {
         self.hosts.values().for_each(Host::stop);
         self.tools.kill();
+        // It holds nothing but the sockets of this run.
+        let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
 
@@ -159,7 +215,13 @@
 /// The fleet of `elderstage demo`: one zone, two readers, two writers and a mixed engine.
 pub fn demo() -> Site {
     let kind = |name: &str, spec| Kind { name: name.into(), spec };
-    let engine = |name: &str, kind| Engine { name: name.into(), kind, zone: "a".into(), cell: 0 };
+    let engine = |name: &str, kind| Engine {
+        name: name.into(),
+        kind,
+        zone: "a".into(),
+        cell: 0,
+        ways: vec![Family::V4],
+    };
     Site {
         zones: vec!["a".into()],
         kinds: vec![
--- a/crates/rehearsal/src/measure.rs
+++ b/crates/rehearsal/src/measure.rs
@@ -16,6 +16,7 @@
 use elderstage_protocol::engine::{self, Ask, Message, Stage};
 use elderstage_protocol::http::{self, Body};
 use elderstage_protocol::jsonrpc::{self, Id};
+use elderstage_protocol::place::Family;
 use elderstage_protocol::{mcp, sse};
 use elderstage_standin::model::{Role, Spec};
 use elderstage_standin::traffic::Log;
@@ -93,7 +94,13 @@
     };
     for (kind, (role, count, spec)) in kinds.into_iter().enumerate() {
         site.kinds.push(Kind { name: format!("k{kind}"), spec: Spec { role, ..spec } });
-        let engine = |n| Engine { name: format!("k{kind}-{n}"), kind, zone: "a".into(), cell: 0 };
+        let engine = |n| Engine {
+            name: format!("k{kind}-{n}"),
+            kind,
+            zone: "a".into(),
+            cell: 0,
+            ways: vec![Family::V4],
+        };
         site.engines.extend((0..count).map(engine));
     }
     site
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -350,6 +350,9 @@
             Step::TableFull(engine, on) => self.faults(engine, |faults| faults.table_full = *on),
             Step::Freeze(engine, on) => self.faults(engine, |faults| faults.frozen = *on),
             Step::Handshake(engine, time) => self.faults(engine, |faults| faults.handshake = *time),
+            Step::Address { engine, way, fault } => {
+                self.fleet.fault(engine.as_deref(), *way, *fault).map_err(io("address"))
+            }
             Step::Cut(zone, on) => {
                 for engine in &self.fleet.site.engines {
                     let others =
--- a/crates/rehearsal/src/rules/effects.rs
+++ b/crates/rehearsal/src/rules/effects.rs
@@ -24,7 +24,14 @@
     let mut ran: BTreeMap<&str, u64> = BTreeMap::new();
     let mut had_effect: BTreeSet<&str> = BTreeSet::new();
     let mut refused: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut reached: BTreeSet<&str> = BTreeSet::new();
     for record in records {
+        // One attempt is one send, over whichever addresses of whichever server.
+        if let Seen::Received { rid, .. } = &record.what
+            && !reached.insert(rid)
+        {
+            verdict.broke(record.at, rid, "one attempt was received twice");
+        }
         match &record.what {
             Seen::Sent { rid, class, .. } => {
                 classes.insert(rid, figures.classes.get(class).copied().unwrap_or(Repeat::Unsafe));
--- a/crates/rehearsal/tests/checker.rs
+++ b/crates/rehearsal/tests/checker.rs
@@ -124,6 +124,14 @@
     good(&[&start[..], &full, &again].concat());
 }
 
+/// One attempt that two addresses took, whatever its class and stage.
+#[test]
+fn an_attempt_that_was_received_twice() {
+    let one = received(10, "r1", "c1/1/0", "read", 0.0);
+    let two = received(11, "r1", "c1/1/0", "read", 0.0);
+    only(&[sent(0, "c1", "ask"), one, two, last(50, "c1", "served")], "no effect twice", "received twice");
+}
+
 #[test]
 fn a_tool_called_again_and_refusals_after_effects() {
     let start = [sent(0, "c1", "order")];
--- a/crates/standin/src/host/door.rs
+++ b/crates/standin/src/host/door.rs
@@ -28,6 +28,8 @@
     Stalls,
     /// Connections are closed as soon as they are made.
     Closes,
+    /// Connections are closed as soon as a request's head has come.
+    ClosesOnRequest,
     /// A request is read whole, and the head of an answer is all that comes.
     StallsAfterHead,
     /// A stream stands still after its first tokens.
--- a/crates/standin/src/host/mod.rs
+++ b/crates/standin/src/host/mod.rs
@@ -134,6 +134,11 @@
         Ok(Host { shared })
     }
 
+    /// Connections that are open.
+    pub fn connections(&self) -> usize {
+        lock(&self.shared.sockets).len()
+    }
+
     /// Where it listens.
     pub fn places(&self) -> Vec<Place> {
         self.shared.doors.iter().map(|door| lock(door).place().clone()).collect()
--- a/crates/standin/src/host/serve.rs
+++ b/crates/standin/src/host/serve.rs
@@ -89,6 +89,7 @@
                 continue;
             }
             DoorFault::Stalls | DoorFault::Silent => return hold(shared, &conn, door, fault),
+            DoorFault::ClosesOnRequest => return conn.socket().shut(),
             DoorFault::StallsAfterContinue if waits => {
                 let _ = conn.take_body(&head);
                 return hold(shared, &conn, door, fault);
