Requests on a dying path are given up; scripts bound what may be refused or failed

Change: core/addresses/waits.rs counts long waits for a first byte, asks for trials of the address and of its siblings, and gives up what may be repeated where another address works (what must not run twice waits on). After a failure by a family its addresses are proven anew for a second. Connecting and proving together stay within the connect time that the module counts on. Releases are proven and said up to three times. A simulated network plays the same state of addresses over many fronts, beside two baselines.

--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use clap::Subcommand;
-use elderstage_rehearsal::measure;
+use elderstage_rehearsal::{measure, paths};
 
 #[derive(Subcommand)]
 pub enum What {
@@ -39,6 +39,23 @@
         #[arg(long, default_value_t = 200_000)]
         requests: u32,
     },
+    /// Time to a working address by fault, beside two baselines, in simulated time.
+    Addresses {
+        #[arg(long, default_value_t = 14)]
+        seed: u64,
+    },
+    /// A dead network over many servers, by number of fronts up to 64, in simulated time.
+    Outage {
+        #[arg(long, default_value_t = 60)]
+        servers: usize,
+        #[arg(long, default_value_t = 14)]
+        seed: u64,
+    },
+    /// Cost of the choice of an address, and of a pooled against a new connection.
+    Connect {
+        #[arg(long, default_value_t = 20_000)]
+        rounds: u32,
+    },
     /// The plain relay that streams are compared with.
     #[command(hide = true)]
     RelayProcess {
@@ -58,6 +75,9 @@
         }
         What::Open { streams } => measure::open_streams(&program, *streams),
         What::Decisions { servers, requests } => Ok(measure::decisions(*servers, *requests)),
+        What::Addresses { seed } => Ok(paths::by_fault(*seed)),
+        What::Outage { servers, seed } => Ok(paths::outages(*servers, *seed)),
+        What::Connect { rounds } => measure::connects(*rounds),
         What::RelayProcess { target, addr_file } => {
             measure::relay(*target, addr_file).map(|()| serde_json::Value::Null)
         }
--- a/crates/core/src/addresses/book.rs
+++ b/crates/core/src/addresses/book.rs
@@ -21,9 +21,16 @@
 /// So many requests in a row without a byte of answer make an address a doubtful one: it comes after the others.
 const SILENCES: u32 = 2;
 /// A proof holds for so long: requests that may be repeated go without a further one.
-const PROVEN_FOR: Time = 10_000_000;
+const PROVEN_FOR: Time = 1_000_000;
 /// Dials at once to an address that is paused, where a server has no other.
 const HALF_OPEN: u32 = 2;
+/// After something went wrong by a family, all its addresses are proven anew for so long: what took one server's
+/// socket may have taken them all, and the next attempt goes to another server by the same family.
+const SHAKEN: Time = 1_000_000;
+/// Longest time for a trial of a mere suspicion: the shortest delay between two dials, which serves the same end.
+const QUICK: Time = 100_000;
+/// An address that has answered something so lately is not suspected.
+const SUSPECT: Time = 200_000;
 /// A server that has left is known for so long: releases and attempts under way may still name it.
 const FORGET: Time = 60_000_000;
 
@@ -40,6 +47,8 @@
     pub until: Time,
     /// When it last answered something; an address may accept and then stall.
     pub proven: Option<Time>,
+    /// When a request over it last got a byte of answer.
+    pub answered: Option<Time>,
     /// Requests without a byte of answer since the last that had one.
     pub silences: u32,
     /// Dials that are out.
@@ -90,8 +99,12 @@
     servers: BTreeMap<ServerId, Listed>,
     known: BTreeMap<Place, Known>,
     families: BTreeMap<Family, FamilyState>,
+    /// Until when nothing vouches for any address of a family.
+    shaken: BTreeMap<Family, Time>,
     /// Addresses with failures.
     bad: BTreeSet<Place>,
+    /// Addresses of which a trial is wanted for a long wait.
+    suspects: BTreeSet<Place>,
     /// Share of this front's jitter, from 0 to 1.
     jitter: f64,
 }
@@ -125,6 +138,8 @@
     /// Requests got no answer though connections were made: the trial is to be as long as a request, since a network
     /// may pass small packets only.
     pub heavy: bool,
+    /// Longest time for it.
+    pub time: Time,
 }
 
 fn pause(number: u32, jitter: f64) -> Time {
@@ -165,6 +180,7 @@
             self.known.entry(place.clone()).or_default().left = left;
         }
         self.bad.retain(|place| self.known.contains_key(place));
+        self.suspects.retain(|place| self.known.contains_key(place));
         for family in self.families.values_mut() {
             family.failed.retain(|server, _| self.servers.get(server).is_some_and(|s| s.left.is_none()));
         }
@@ -213,7 +229,8 @@
         let choice = |index: usize| {
             let place = &listed.places[index];
             let known = self.known.get(place).cloned().unwrap_or_default();
-            let fresh = known.proven.is_some_and(|at| now < at + PROVEN_FOR);
+            let shaken = self.shaken.get(&place.family()).is_some_and(|until| now < *until);
+            let fresh = !shaken && known.proven.is_some_and(|at| now < at + PROVEN_FOR);
             Choice {
                 place: place.clone(),
                 connect: known.connect,
@@ -264,6 +281,7 @@
         (known.proven, known.fails) = (Some(now), 0);
         // Guards against a proof by a small head that vouches for a path on which long bodies are lost.
         if took.is_none() {
+            known.answered = Some(now);
             known.silences = 0;
         }
         if !known.bad() {
@@ -304,11 +322,17 @@
         self.bad.insert(place.clone());
     }
 
+    /// A connection was closed under a request, or could not be had.
+    pub fn shaken(&mut self, place: &Place, now: Time) {
+        self.shaken.insert(place.family(), now + SHAKEN);
+    }
+
     /// A request got no byte of an answer over a connection that was made.
     pub fn silent(&mut self, place: &Place, now: Time, since: Time) {
         let jitter = self.jitter;
         let Some(known) = self.known.get_mut(place) else { return };
-        if known.proven.is_some_and(|at| at > since) {
+        // Proofs say nothing here: guards against a path that passes them and swallows what follows.
+        if known.answered.is_some_and(|at| at > since) {
             return;
         }
         known.silences += 1;
@@ -318,6 +342,35 @@
         }
     }
 
+    /// A request over it waits long. A trial is due of it, and of the server's others: guards against a front whose
+    /// requests all wait on a dead path, so that none shows that another works.
+    pub fn suspect(&mut self, server: &ServerId, place: &Place, now: Time) {
+        let Some(listed) = self.servers.get(server) else { return };
+        for place in listed.places.iter().chain([place].into_iter().filter(|p| !listed.places.contains(p))) {
+            if let Some(known) = self.known.get(place)
+                && !known.bad()
+                && known.proven.is_none_or(|at| now >= at + SUSPECT)
+            {
+                self.suspects.insert(place.clone());
+            }
+        }
+    }
+
+    /// Whether an address has failed or swallows requests, while another one of the server works.
+    pub fn hopeless(&self, server: &ServerId, place: &Place, since: Time) -> bool {
+        if !self.known.get(place).is_some_and(Known::bad) {
+            return false;
+        }
+        let works = |other: &Place| {
+            other != place
+                && self
+                    .known
+                    .get(other)
+                    .is_some_and(|known| !known.bad() && known.proven.is_some_and(|at| at > since))
+        };
+        self.places(server).iter().any(works)
+    }
+
     /// It does not take requests that wait for a word before their body.
     pub fn refused_continue(&mut self, place: &Place) {
         if let Some(known) = self.known.get_mut(place) {
@@ -349,7 +402,8 @@
 
     /// The trials that are due and that `may` lets begin. A family that is down is tried by one address at a time,
     /// another each time; its failed addresses wait for that.
-    pub fn trials(&mut self, now: Time, mut may: impl FnMut() -> bool) -> Vec<Trial> {
+    /// No trial takes longer than `connect`.
+    pub fn trials(&mut self, now: Time, connect: Time, mut may: impl FnMut() -> bool) -> Vec<Trial> {
         let mut out = Vec::new();
         let down: Vec<Family> =
             self.families.iter().filter(|(_, s)| s.down.is_some()).map(|(f, _)| *f).collect();
@@ -362,9 +416,10 @@
             if let Some(state) = self.families.get_mut(&family) {
                 (state.trial, state.tried) = (true, Some(place.clone()));
             }
-            out.push(Trial { server, place, family: true, heavy: false });
+            out.push(Trial { server, place, family: true, heavy: false, time: connect });
         }
-        let due: Vec<Place> = self.bad.iter().filter(|place| self.due(place, now)).cloned().collect();
+        let wanted = self.bad.union(&self.suspects);
+        let due: Vec<Place> = wanted.filter(|place| self.due(place, now)).cloned().collect();
         for place in due {
             let Some(server) = self.home(&place) else { continue };
             if !may() {
@@ -372,7 +427,10 @@
             }
             let Some(known) = self.known.get_mut(&place) else { continue };
             known.trial = true;
-            out.push(Trial { server, heavy: known.doubtful(), place, family: false });
+            self.suspects.remove(&place);
+            // A request waits for what comes of a suspicion.
+            let time = if known.bad() { connect } else { connect.min(QUICK) };
+            out.push(Trial { server, heavy: known.doubtful(), place, family: false, time });
         }
         out
     }
@@ -420,7 +478,8 @@
     }
 }
 
-fn learn(mean: &mut f64, took: Time) {
+/// Takes one more time into a mean; 0 stands for none yet.
+pub(super) fn learn(mean: &mut f64, took: Time) {
     let took = took.max(1) as f64;
     *mean += if *mean == 0.0 { took } else { STEP * (took - *mean) };
 }
--- a/crates/core/src/addresses/book_tests.rs
+++ b/crates/core/src/addresses/book_tests.rs
@@ -34,7 +34,7 @@
 const UNIX_LAST: [Family; 3] = [Family::V6, Family::V4, Family::Unix];
 
 fn trials(book: &mut Book, now: Time) -> Vec<Trial> {
-    book.trials(now, || true)
+    book.trials(now, 250_000, || true)
 }
 
 #[test]
@@ -47,7 +47,10 @@
     assert_eq!(order(&book, 0, 1000 * S), UNIX_LAST, "time alone brings nothing back");
     assert_eq!(trials(&mut book, S + PAUSE - 1), []);
     let due = trials(&mut book, S + PAUSE);
-    assert_eq!(due, [Trial { server: server("s0"), place: at[0].clone(), family: false, heavy: false }]);
+    assert_eq!(
+        due,
+        [Trial { server: server("s0"), place: at[0].clone(), family: false, heavy: false, time: 250_000 }]
+    );
     assert_eq!(trials(&mut book, S + PAUSE), [], "one at a time");
     book.tried(&due[0], 2 * S, 2 * S - 1, false);
     assert_eq!(trials(&mut book, 2 * S + PAUSE), [], "twice as long");
@@ -176,12 +179,12 @@
 fn an_address_that_swallows_requests_is_doubted_until_a_long_trial_is_answered() {
     let (mut book, at) = (book(1), places(0));
     book.proven(&at[0], S, None);
-    assert!(book.order(&server("s0"), 2 * S)[0].proven);
+    assert!(book.order(&server("s0"), S + 1)[0].proven);
     assert!(!book.order(&server("s0"), S + PROVEN_FOR)[0].proven, "a proof holds for a time");
     book.silent(&at[0], 3 * S, 2 * S);
     assert!(!book.order(&server("s0"), 3 * S)[0].proven, "one asks for a proof");
     assert_eq!(order(&book, 0, 3 * S), ALL);
-    book.proven(&at[0], 3 * S, Some(1));
+    book.proven(&at[0], 3 * S + 1, Some(1));
     book.silent(&at[0], 4 * S, 3 * S);
     assert_eq!(order(&book, 0, 4 * S), UNIX_LAST, "two make it doubtful");
     book.proven(&at[0], 4 * S, Some(1));
@@ -246,7 +249,7 @@
         book.failed(&places(of)[0], S, S);
     }
     let mut left = 5;
-    let some = book.trials(10 * S, || {
+    let some = book.trials(10 * S, 250_000, || {
         left -= 1;
         left >= 0
     });
--- a/crates/core/src/addresses/mod.rs
+++ b/crates/core/src/addresses/mod.rs
@@ -14,9 +14,11 @@
 mod gate;
 mod pool;
 mod race;
+mod waits;
 
 use elderstage::{ServerId, Time};
 use elderstage_protocol::place::{Family, Place};
+use waits::Waits;
 
 pub use book::{Book, Choice, Known, Trial};
 pub use gate::{Bounds, Gate, NoRoom};
@@ -30,7 +32,7 @@
     pub once: bool,
     /// How the server's kind is proven.
     pub proof: Proof,
-    /// Longest time to connect; a proof has as much again.
+    /// Longest time to connect and to prove, over all addresses: what the module counts on.
     pub connect: Time,
     /// The attempt's whole time.
     pub time: Time,
@@ -53,6 +55,9 @@
     pub trials_failed: u64,
     pub families_down: u64,
     pub families_back: u64,
+    /// Requests whose wait for a first byte was long, and those given up for it.
+    pub late: u64,
+    pub given_up: u64,
 }
 
 /// All that one front knows and holds of addresses. `C` is a connection, which is never looked into.
@@ -60,11 +65,22 @@
     pub book: Book,
     gate: Gate,
     pool: Pool<C>,
+    waits: Waits,
     bounds: Bounds,
     counts: Counts,
     down: [bool; 3],
 }
 
+/// What a look after the addresses has come to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tended {
+    pub trials: Vec<Trial>,
+    /// Families that went down or came back since the last look; true for down.
+    pub families: Vec<(Family, bool)>,
+    /// Requests to give up, by their numbers: nothing comes over their address, and another one works.
+    pub give_up: Vec<u64>,
+}
+
 const FAMILIES: [Family; 3] = [Family::Unix, Family::V6, Family::V4];
 
 struct Stock<'a, C> {
@@ -122,6 +138,7 @@
             book: Book::new(jitter),
             gate: Gate::new(bounds),
             pool: Pool::new(bounds),
+            waits: Waits::default(),
             bounds,
             counts: Counts::default(),
             down: [false; 3],
@@ -137,6 +154,12 @@
         (self.gate.all(), self.pool.idle())
     }
 
+    /// Connections to one address, open or being made.
+    pub fn open_at(&self, place: &Place) -> usize {
+        self.gate.open_at(place)
+    }
+
+    /// Families that are held to be dead.
     pub fn down(&self) -> impl Iterator<Item = Family> + '_ {
         FAMILIES.into_iter().filter(|family| self.book.family_down(*family))
     }
@@ -172,9 +195,7 @@
                 proof => proof,
             }
         };
-        let proves = order.iter().any(|choice| proof(choice) != Proof::None);
-        let time = if proves { ask.connect.saturating_mul(2) } else { ask.connect };
-        Race::new(server.clone(), now, now + time.min(ask.time), order, proof)
+        Race::new(server.clone(), now, now + ask.connect.min(ask.time), order, proof)
     }
 
     /// What the attempt does next.
@@ -208,6 +229,7 @@
             self.book.connected(place, now.saturating_sub(since));
         } else {
             self.counts.dials_failed += 1;
+            self.book.shaken(place, now);
             self.book.failed(place, now, since);
         }
     }
@@ -216,6 +238,7 @@
     pub fn not_proven(&mut self, now: Time, race: &mut Race, lane: usize) {
         let since = race.proving_since(lane);
         self.counts.proofs_failed += 1;
+        self.book.shaken(&race.place(lane).clone(), now);
         if race.failed(lane) {
             self.book.failed(&race.place(lane).clone(), now, since.unwrap_or(now));
         } else {
@@ -246,14 +269,31 @@
 
     // ---- After the send ----
 
-    /// The first byte of an answer has come.
-    pub fn answered(&mut self, now: Time, place: &Place) {
-        self.book.proven(place, now, None);
+    /// The request was written. The number is for what follows.
+    pub fn sent(&mut self, now: Time, server: &ServerId, place: &Place, safe: bool) -> u64 {
+        self.waits.begin(server, place, now, safe)
     }
 
-    /// No byte of an answer came. A pooled connection that was closed says nothing of its address.
-    pub fn silent(&mut self, now: Time, place: &Place, since: Time) {
-        self.book.silent(place, now, since);
+    /// The first byte of its answer has come.
+    pub fn answered(&mut self, now: Time, number: u64) {
+        if let Some(wait) = self.waits.answered(number, now) {
+            self.book.proven(&wait.place, now, None);
+        }
+    }
+
+    /// It has ended without a byte. `reused`: on a pooled connection, which may have been closed meanwhile and then
+    /// says nothing of its address.
+    pub fn silent(&mut self, now: Time, number: u64, reused: bool) {
+        let Some(wait) = self.waits.ended(number) else { return };
+        self.book.shaken(&wait.place, now);
+        if !wait.late && !reused {
+            self.book.silent(&wait.place, now, wait.since);
+        }
+    }
+
+    /// Something was answered over an address beside a request.
+    pub fn heard(&mut self, now: Time, place: &Place) {
+        self.book.proven(place, now, Some(1));
     }
 
     /// A connection is free again after an answer that ended in good order.
@@ -272,20 +312,29 @@
     /// The whole list of servers: each one's addresses, and whether it is told to leave.
     pub fn list(&mut self, now: Time, servers: impl IntoIterator<Item = (ServerId, Vec<Place>, bool)>) {
         self.book.list(now, servers);
+        self.waits.forget_servers(|server| !self.book.places(server).is_empty());
     }
 
-    /// Closes what has outlived its time, and begins the trials that are due. Also which families went down or came
-    /// back since the last look.
-    pub fn tend(&mut self, now: Time) -> (Vec<Trial>, Vec<(Family, bool)>) {
+    /// Closes what has outlived its time, looks after long waits, and begins the trials that are due.
+    /// No trial takes longer than `connect`.
+    pub fn tend(&mut self, now: Time, connect: Time) -> Tended {
+        for wait in self.waits.late(now) {
+            self.counts.late += 1;
+            self.book.silent(&wait.place, now, wait.since);
+            self.book.suspect(&wait.server, &wait.place, now);
+        }
+        let book = &self.book;
+        let give_up = self.waits.give_up(|wait| book.hopeless(&wait.server, &wait.place, wait.since));
+        self.counts.given_up += give_up.len() as u64;
         let (book, grace) = (&self.book, self.bounds.grace);
         self.pool.sweep(now, |place| book.left(place, now, grace));
         let gate = &mut self.gate;
-        let trials = self.book.trials(now, || gate.spare(now));
+        let trials = self.book.trials(now, connect, || gate.spare(now));
         for trial in &trials {
             self.gate.opened(&trial.place);
             self.counts.trials += 1;
         }
-        (trials, self.families())
+        Tended { trials, families: self.families(), give_up }
     }
 
     /// A trial has ended; `good` when something was answered. Its connection is told of as any other.
--- a/crates/core/src/addresses/tests.rs
+++ b/crates/core/src/addresses/tests.rs
@@ -94,9 +94,9 @@
     let mut addresses = addresses();
     addresses.free(S, &places()[0], 1, Life::new(S));
     addresses.list(2 * S, [(server("s"), places(), true)]);
-    addresses.tend(3 * S);
+    addresses.tend(3 * S, 250 * MS);
     assert!(addresses.closing().is_empty(), "the grace");
-    addresses.tend(4 * S);
+    addresses.tend(4 * S, 250 * MS);
     assert_eq!(addresses.closing(), [1]);
     // One that comes free later is not kept.
     addresses.free(5 * S, &places()[0], 2, Life::new(S));
@@ -116,14 +116,84 @@
         race.failed(0);
         assert!(matches!(connect(&mut addresses, &mut race, S), Step::Send(1, _)));
     }
-    assert_eq!(addresses.tend(S).1, [(Family::V6, true)]);
-    assert_eq!(addresses.tend(S).1, []);
+    assert_eq!(addresses.tend(S, 250 * MS).families, [(Family::V6, true)]);
+    assert_eq!(addresses.tend(S, 250 * MS).families, []);
     // The others go by IPv4 at once.
     let mut race = addresses.begin(S, &server("s4"), ask(false));
     assert!(matches!(addresses.poll(S, &mut race), Step::Dial(0, _)));
     assert_eq!(race.place(0).family(), Family::V4);
-    let (trials, _) = addresses.tend(3 * S);
+    let trials = addresses.tend(3 * S, 250 * MS).trials;
     assert_eq!((trials.len(), trials[0].family), (1, true));
     addresses.tried(3 * S, &trials[0], 3 * S, true);
-    assert_eq!(addresses.tend(3 * S).1, [(Family::V6, false)]);
+    assert_eq!(addresses.tend(3 * S, 250 * MS).families, [(Family::V6, false)]);
+}
+
+/// A path that dies under requests: what may be repeated is given up once another address is known to work; what
+/// must not run twice waits on.
+#[test]
+fn requests_on_a_dead_path_are_given_up_where_another_works() {
+    let mut addresses = addresses();
+    let (dead, good) = (places()[0].clone(), places()[1].clone());
+    let safe = addresses.sent(S, &server("s"), &dead, true);
+    let once = addresses.sent(S, &server("s"), &dead, false);
+    assert_eq!(addresses.tend(S + 100 * MS, 250 * MS), Tended::default());
+    // Two long waits make it doubtful; nothing is known of the other yet.
+    let tended = addresses.tend(S + 250 * MS, 250 * MS);
+    assert_eq!((tended.trials.len(), tended.give_up.len()), (1, 0), "whether the other works is asked");
+    assert_eq!((&tended.trials[0].place, tended.trials[0].time), (&good, 100 * MS));
+    let next = addresses.begin(S + 250 * MS, &server("s"), ask(false));
+    assert_eq!(*next.place(0), good, "the next request goes there");
+    let trials = addresses.tend(S + 255 * MS, 250 * MS).trials;
+    assert!(trials.iter().all(|trial| trial.place != dead), "it is doubtful, and waits its pause");
+    let other = addresses.sent(S + 250 * MS, &server("s"), &good, true);
+    addresses.answered(S + 260 * MS, other);
+    assert_eq!(addresses.tend(S + 300 * MS, 250 * MS).give_up, [safe]);
+    addresses.silent(S + 300 * MS, safe, false);
+    assert!(addresses.tend(S + 350 * MS, 250 * MS).give_up.is_empty());
+    addresses.answered(2 * S, once);
+    assert_eq!((addresses.counts().late, addresses.counts().given_up), (2, 1));
+}
+
+/// One long wait asks for a trial, and its failure says more than a second long wait.
+#[test]
+fn a_long_wait_asks_for_a_trial() {
+    let mut addresses = addresses();
+    let dead = places()[0].clone();
+    let safe = addresses.sent(S, &server("s"), &dead, true);
+    let tended = addresses.tend(S + 200 * MS, 250 * MS);
+    assert_eq!(tended.trials.len(), 2, "of it, and of the other");
+    for trial in &tended.trials {
+        let good = trial.place != dead;
+        addresses.tried(S + if good { 201 } else { 300 } * MS, trial, S + 200 * MS, good);
+        addresses.closed(&trial.place);
+    }
+    assert_eq!(addresses.tend(S + 500 * MS, 250 * MS).give_up, [safe]);
+    // An engine that is only busy is tried and left alone.
+    let busy = addresses.sent(2 * S, &server("s"), &places()[1], true);
+    let tended = addresses.tend(2 * S + 900 * MS, 250 * MS);
+    let trial = tended.trials.iter().find(|trial| trial.place == places()[1]).unwrap();
+    addresses.tried(2 * S + 901 * MS, trial, 2 * S + 900 * MS, true);
+    assert!(addresses.tend(3 * S, 250 * MS).give_up.is_empty());
+    addresses.answered(3 * S, busy);
+}
+
+/// What took one server's socket may have taken them all: the next attempt, at another server, is proven.
+#[test]
+fn a_connection_closed_under_a_request_asks_for_proofs_by_its_family() {
+    let mut addresses = addresses();
+    let other: Vec<Place> = ["[::1]:81", "127.0.0.1:81"].iter().map(|text| text.parse().unwrap()).collect();
+    addresses.list(0, [(server("s"), places(), false), (server("t"), other.clone(), false)]);
+    for place in [&places()[0], &other[0], &other[1]] {
+        addresses.heard(S, place);
+    }
+    let proofs = |addresses: &mut Addresses<u32>| {
+        let before = addresses.counts().proofs;
+        let mut race = addresses.begin(S, &server("t"), ask(false));
+        connect(addresses, &mut race, S);
+        addresses.counts().proofs - before
+    };
+    assert_eq!(proofs(&mut addresses), 0);
+    let number = addresses.sent(S, &server("s"), &places()[0], true);
+    addresses.silent(S, number, true);
+    assert_eq!(proofs(&mut addresses), 1);
 }
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -30,6 +30,9 @@
     Broke,
     /// The front gave the attempt up because it was told to.
     Cancelled,
+    /// The front gave it up because nothing comes over its address any more while another one of the server works:
+    /// says nothing of the server.
+    GivenUp,
     /// The engine answered with this status and, in an error body, this code.
     Status { status: u16, code: Option<String> },
     /// The answer was not what the protocol has: malformed, or with an error inside the stream.
@@ -55,7 +58,7 @@
         Evidence::Unsent { .. } => (Outcome::Full, 0),
         Evidence::TimedOut => (Outcome::TimedOut, 0),
         Evidence::Broke => (Outcome::Broken, 0),
-        Evidence::Cancelled => (Outcome::Cancelled, 0),
+        Evidence::Cancelled | Evidence::GivenUp => (Outcome::Cancelled, 0),
         Evidence::Status { status: 429, .. } => (Outcome::Full, 0),
         Evidence::Status { status: 424, code }
             if stage == Stage::Write && code.as_deref() == Some(NO_STATE_CODE) =>
@@ -115,6 +118,7 @@
             Evidence::Broke,
             Evidence::TimedOut,
             Evidence::Cancelled,
+            Evidence::GivenUp,
             Evidence::Garbled,
             Evidence::Read { cached: 0 },
         ] {
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -110,6 +110,7 @@
     link.conn.set_deadline(Some(end));
     link.conn.set_write_timeout(Some(end.saturating_duration_since(Instant::now())));
     let to = link.to(engine::COMPLETIONS);
+    let number = shared.links.sent(attempt.server, &link, !attempt.once);
     let sent = match rest {
         Rest::Body => link.conn.write(&attempt.body),
         Rest::Whole => send(&mut link.conn, "POST", &to, &headers, &attempt.body),
@@ -117,11 +118,11 @@
     let head = match sent.and_then(|()| link.conn.response()) {
         Ok(head) => head,
         Err(error) => {
-            shared.links.silent(&link);
-            return Ended::with(seen(&error));
+            let given_up = shared.links.silent(number, link.reused);
+            return Ended::with(if given_up { Evidence::GivenUp } else { seen(&error) });
         }
     };
-    shared.links.answered(&link.place);
+    shared.links.answered(number);
     let conn = &mut link.conn;
     let report = head.headers.get(orca::HEADER).and_then(orca::parse);
     let streams = head.headers.get("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
--- a/crates/front/src/links.rs
+++ b/crates/front/src/links.rs
@@ -5,6 +5,7 @@
 //! few instructions and never over I/O: an order of addresses is needed where the connection is made, and going to
 //! the owner and back for it would double the way of each attempt.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
@@ -48,8 +49,6 @@
     life: Life,
     /// It was idle before this request.
     pub reused: bool,
-    /// When this request got it.
-    pub since: Time,
     _open: Open,
 }
 
@@ -100,6 +99,8 @@
 /// All connections of a front.
 pub(crate) struct Links {
     desk: Mutex<Addresses<Link>>,
+    /// Requests that wait for a first byte, by the core's number for them.
+    waiting: Mutex<HashMap<u64, Socket>>,
     clock: Clock,
     via: String,
     connect: Time,
@@ -107,7 +108,8 @@
 
 impl Links {
     pub fn new(bounds: Bounds, jitter: f64, clock: Clock, via: String, connect: Time) -> Arc<Links> {
-        Arc::new(Links { desk: Mutex::new(Addresses::new(bounds, jitter)), clock, via, connect })
+        let desk = Mutex::new(Addresses::new(bounds, jitter));
+        Arc::new(Links { desk, waiting: Mutex::default(), clock, via, connect })
     }
 
     fn desk(&self) -> std::sync::MutexGuard<'_, Addresses<Link>> {
@@ -140,7 +142,7 @@
     fn link(self: &Arc<Self>, conn: Conn, open: Open) -> Box<Link> {
         let now = self.clock.now();
         let place = open.place.clone();
-        Box::new(Link { conn, place, life: Life::new(now), reused: false, since: now, _open: open })
+        Box::new(Link { conn, place, life: Life::new(now), reused: false, _open: open })
     }
 
     fn open(self: &Arc<Self>, place: &Place) -> Open {
@@ -155,16 +157,28 @@
         self.with(|desk, now| desk.free(now, &place, link, life));
     }
 
-    /// Something was answered on it.
-    pub fn answered(&self, place: &Place) {
-        self.with(|desk, now| desk.answered(now, place));
+    /// A request was written on it and waits for the first byte of its answer.
+    pub fn sent(&self, server: &ServerId, link: &Link, safe: bool) -> u64 {
+        let number = self.with(|desk, now| desk.sent(now, server, &link.place, safe));
+        self.waiting().insert(number, link.conn.socket());
+        number
     }
 
-    /// Nothing was answered on it.
-    pub fn silent(&self, link: &Link) {
-        if !link.reused {
-            self.with(|desk, now| desk.silent(now, &link.place, link.since));
-        }
+    /// The first byte has come.
+    pub fn answered(&self, number: u64) {
+        self.waiting().remove(&number);
+        self.with(|desk, now| desk.answered(now, number));
+    }
+
+    /// No byte has come. `true` when the wait was ended from here.
+    pub fn silent(&self, number: u64, reused: bool) -> bool {
+        let given_up = self.waiting().remove(&number).is_none();
+        self.with(|desk, now| desk.silent(now, number, reused));
+        given_up
+    }
+
+    fn waiting(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Socket>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     // ---- One attempt ----
@@ -182,7 +196,6 @@
         match got {
             Got::Link(mut link, rest) => {
                 link.life.uses += 1;
-                link.since = self.clock.now();
                 Got::Link(link, rest)
             }
             other => other,
@@ -201,23 +214,25 @@
     ) -> Result<Answer, ExchangeError> {
         let end = Instant::now() + time;
         let time = time.as_micros() as Time;
-        let ask = Ask { once: false, proof: Proof::None, connect: self.connect, time };
+        // By a health request where nothing vouches for the address: any server that is asked this has that.
+        let ask = Ask { once: false, proof: Proof::Health, connect: self.connect, time };
         let wanted = Wanted { server, ask, path, headers, body: body.len(), slot: None };
         let Got::Link(mut link, _) = self.connect(&wanted) else { return Err(ExchangeError::NotConnected) };
         link.conn.set_write_timeout(Some(end.saturating_duration_since(Instant::now())));
         link.conn.set_deadline(Some(end));
         let to = link.to(path);
+        let number = self.sent(server, &link, true);
         let answer = send(&mut link.conn, method, &to, headers, body).and_then(|()| receive(&mut link.conn));
         match answer {
             Ok(answer) => {
-                self.answered(&link.place);
+                self.answered(number);
                 if answer.head.keep_alive {
                     self.free(*link);
                 }
                 Ok(answer)
             }
             Err(error) => {
-                self.silent(&link);
+                self.silent(number, link.reused);
                 Err(ExchangeError::Net(error))
             }
         }
@@ -229,15 +244,21 @@
     pub fn tend(self: &Arc<Self>, goes_on: &std::sync::atomic::AtomicBool) {
         while goes_on.load(std::sync::atomic::Ordering::SeqCst) {
             std::thread::sleep(TEND);
-            let (trials, families) = self.with(|desk, now| desk.tend(now));
-            for (family, down) in families {
+            let tended = self.with(|desk, now| desk.tend(now, self.connect));
+            for number in tended.give_up {
+                // Taken out first: whoever waits sees by that why it ended.
+                if let Some(socket) = self.waiting().remove(&number) {
+                    socket.shut();
+                }
+            }
+            for (family, down) in tended.families {
                 if down {
                     tracing::warn!(target: "addresses", %family, "unreachable for several servers; its addresses come last");
                 } else {
                     tracing::info!(target: "addresses", %family, "reachable again");
                 }
             }
-            for trial in trials {
+            for trial in tended.trials {
                 let links = self.clone();
                 go(move || links.trial(&trial));
             }
@@ -247,7 +268,7 @@
     fn trial(self: &Arc<Self>, trial: &Trial) {
         let since = self.clock.now();
         let guard = self.open(&trial.place);
-        let time = Duration::from_micros(self.connect);
+        let time = Duration::from_micros(trial.time);
         let tried = open(trial.place.clone(), time).and_then(|conn| {
             let mut link = self.link(conn, guard);
             let padding = if trial.heavy { "x".repeat(PADDING) } else { String::new() };
@@ -466,7 +487,7 @@
                 *at(&mut self.held, lane) = link;
             }
             Word::Final(status) => {
-                self.links.answered(&race.place(lane).clone());
+                self.links.with(|desk, now| desk.heard(now, &race.place(lane).clone()));
                 return Some(Got::Answered(status));
             }
             Word::Nothing => self.links.with(|desk, now| desk.not_proven(now, race, lane)),
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -66,6 +66,9 @@
     pub draining: bool,
 }
 
+/// A release that is not heard is said again, over another address where there is one.
+const RELEASE_TRIES: u64 = 3;
+
 struct Open {
     rid: String,
     mail: Sender<Mail>,
@@ -187,14 +190,14 @@
     }
 }
 
-/// Tells a reader to let go of a state; tried twice within the time that the rule allows.
+/// Tells a reader to let go of a state, within the time that the rule allows; harmless to say again.
 fn release(shared: &Arc<Shared>, server: ServerId, rid: String) {
     let shared = shared.clone();
     go(move || {
         let body = serde_json::json!({"rid": rid}).to_string();
-        let time = Duration::from_micros(shared.config.rules.let_go / 2);
+        let time = Duration::from_micros(shared.config.rules.let_go / RELEASE_TRIES);
         let headers = [("content-type", "application/json"), ("via", shared.site.via.as_str())];
-        for _ in 0..2 {
+        for _ in 0..RELEASE_TRIES {
             let done = shared.links.exchange(&server, "POST", engine::ABORT, &headers, body.as_bytes(), time);
             match done {
                 Ok(_) => return,
@@ -266,6 +269,8 @@
         lines.push(format!("elderstage_address_family_down{{family=\"{family}\"}} {is}"));
     }
     for (name, value) in [
+        ("waits_late", a.late),
+        ("waits_given_up", a.given_up),
         ("dials", a.dials),
         ("dials_failed", a.dials_failed),
         ("dials_overtaken", a.overtaken),
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -87,6 +87,14 @@
     pub retries: u32,
 }
 
+/// An end that a script bounds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Refused,
+    Failed,
+    Lost,
+}
+
 #[derive(Clone, Debug)]
 pub struct Front {
     pub name: String,
@@ -100,6 +108,8 @@
     pub site: Site,
     pub fronts: Vec<Front>,
     pub load: Load,
+    /// What may become of at most so many requests: refused, failed or lost.
+    pub most: Vec<(Ended, u64)>,
     /// In the order of their times.
     pub steps: Vec<(Duration, Step)>,
 }
@@ -226,6 +236,20 @@
         load
     }
 
+    /// `expect failed 0`: at most so many.
+    fn expect(&mut self, directive: &Directive) -> Option<(Ended, u64)> {
+        let ended = match self.word(directive, 0).as_str() {
+            "refused" => Ended::Refused,
+            "failed" => Ended::Failed,
+            "lost" => Ended::Lost,
+            _ => {
+                self.wrong(directive.line, "expect: expected refused, failed or lost, and a number");
+                return None;
+            }
+        };
+        Some((ended, self.number(directive, 1) as u64))
+    }
+
     /// Ways into an engine, after its cell; IPv4 where none is named.
     fn ways(&mut self, directive: &Directive) -> Vec<Family> {
         let mut ways = Vec::new();
@@ -402,6 +426,7 @@
     let (mut name, mut seed, mut zones) = (String::from("rehearsal"), 1, Vec::new());
     let (mut kinds, mut engines, mut fronts) = (Vec::<Kind>::new(), Vec::new(), Vec::new());
     let (mut rest, mut load, mut steps) = (String::new(), None, Vec::new());
+    let mut most = Vec::new();
     let mut links = [300_000.0, 150_000.0, 60_000.0];
     for directive in &all {
         match directive.name.as_str() {
@@ -422,6 +447,7 @@
             "front" => fronts.push(Front { name: r.word(directive, 0), zone: r.word(directive, 1) }),
             "rules" | "class" | "route" => text(directive, &mut rest),
             "load" => load = Some(r.load(directive)),
+            "expect" => most.extend(r.expect(directive)),
             "at" => r.at(directive, &mut steps),
             other => r.wrong(directive.line, format!("unknown directive {other}")),
         }
@@ -450,9 +476,15 @@
     }
     steps.sort_by_key(|(at, _)| *at);
     match load {
-        Some(load) if reader.errors.is_empty() => {
-            Ok(Day { name, seed, site: Site { zones, kinds, engines, rest, links }, fronts, load, steps })
-        }
+        Some(load) if reader.errors.is_empty() => Ok(Day {
+            name,
+            seed,
+            site: Site { zones, kinds, engines, rest, links },
+            fronts,
+            load,
+            most,
+            steps,
+        }),
         _ => {
             reader.errors.sort_by_key(|error| error.line);
             Err(Errors(reader.errors))
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod day;
 pub mod fleet;
 pub mod measure;
+pub mod paths;
 pub mod play;
 pub mod report;
 pub mod rules;
--- a/crates/rehearsal/src/measure.rs
+++ b/crates/rehearsal/src/measure.rs
@@ -610,3 +610,89 @@
         }
     }
 }
+
+// ---- Addresses ----
+
+/// The choice of an address in nanoseconds, and one small exchange on a pooled and on a new connection of each kind.
+/// Rounds of both kinds take turns; figures are medians.
+pub fn connects(rounds: u32) -> std::io::Result<Value> {
+    elderstage_net::init(2);
+    let mut site = site(vec![(Role::Mixed, 1, Spec::default())], CLASSES.into());
+    site.engines[0].ways = vec![Family::Unix, Family::V6, Family::V4];
+    let fleet = Fleet::start(site, &Log::none())?;
+    let places = fleet.hosts.values().next().map(elderstage_standin::host::Host::places).unwrap_or_default();
+    let mut kinds = serde_json::Map::new();
+    for place in places {
+        let (name, rounds) = (place.family().to_string(), (rounds / 20).max(20));
+        let (done, heard) = std::sync::mpsc::channel();
+        go(move || {
+            // Whoever waits may have given up.
+            let _ = done.send(pooled_and_new(&place, rounds));
+        });
+        let (pooled, new) =
+            heard.recv_timeout(LONG).map_err(std::io::Error::other)?.map_err(std::io::Error::other)?;
+        let value = json!({
+            "pooled_us": pooled, "new_us": new, "new_to_pooled": (new / pooled.max(0.001) * 100.0).round() / 100.0
+        });
+        kinds.insert(name, value);
+    }
+    fleet.stop();
+    Ok(json!({"choice_ns": choices(rounds), "exchange": kinds, "servers": "stand-in on loopback"}))
+}
+
+fn pooled_and_new(place: &elderstage_net::Place, rounds: u32) -> Result<(f64, f64), String> {
+    let say = |error: NetError| error.to_string();
+    let to = Endpoint::new(place.clone(), engine::HEALTH);
+    let mut pooled = open(place.clone(), LONG).map_err(say)?;
+    let (mut old, mut new) = (Vec::new(), Vec::new());
+    for _ in 0..rounds {
+        let begun = Instant::now();
+        send(&mut pooled, "GET", &to, &[], b"").map_err(say)?;
+        receive(&mut pooled).map_err(say)?;
+        old.push(begun.elapsed().as_nanos() as f64 / 1e3);
+        let begun = Instant::now();
+        let mut conn = open(place.clone(), LONG).map_err(say)?;
+        send(&mut conn, "GET", &to, &[], b"").map_err(say)?;
+        receive(&mut conn).map_err(say)?;
+        new.push(begun.elapsed().as_nanos() as f64 / 1e3);
+    }
+    Ok((median(old), median(new)))
+}
+
+/// Nanoseconds of the core's part of one attempt that finds an idle connection: 60 servers, three addresses each.
+fn choices(rounds: u32) -> f64 {
+    use elderstage_core::addresses::{Addresses, Ask, Bounds, Life, Proof, Step};
+    let mut addresses = Addresses::<()>::new(Bounds::default(), 0.0);
+    let names: Vec<ServerId> = (0..60).map(|n| ServerId(format!("s{n}").into())).collect();
+    let places = |n: usize| {
+        ["unix:/run/s", "[::1]:", "127.0.0.1:"]
+            .iter()
+            .filter_map(|start| format!("{start}{}", 1000 + n).parse::<elderstage_net::Place>().ok())
+            .collect::<Vec<_>>()
+    };
+    addresses.list(0, names.iter().enumerate().map(|(n, name)| (name.clone(), places(n), false)));
+    for n in 0..60 {
+        for place in places(n) {
+            addresses.heard(1, &place);
+            addresses.free(1, &place, (), Life::new(1));
+        }
+    }
+    let ask = Ask { once: false, proof: Proof::Continue, connect: 250_000, time: 1_000_000 };
+    let mut times = Vec::new();
+    for batch in 0..20 {
+        let begun = Instant::now();
+        let each = (rounds / 20).max(1);
+        for round in 0..each {
+            let server = &names[((batch * each + round) % 60) as usize];
+            let mut race = addresses.begin(2, server, ask);
+            let Step::Reuse(lane, (conn, life)) = addresses.poll(2, &mut race) else { continue };
+            let _ = addresses.poll(2, &mut race);
+            let place = race.place(lane).clone();
+            let number = addresses.sent(2, server, &place, true);
+            addresses.answered(2, number);
+            addresses.free(2, &place, conn, life);
+        }
+        times.push(begun.elapsed().as_nanos() as f64 / f64::from(each));
+    }
+    median(times).round()
+}
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::clients::Tally;
-use crate::day::Day;
+use crate::day::{Day, Ended};
 use crate::rules::{Verdict, client};
 
 /// Broken rules that a table shows, each.
@@ -24,6 +24,8 @@
     pub faults: u64,
     /// Share of the engines' work that served no answer, of all that was sent to them.
     pub wasted: f64,
+    /// Ends that the script bounds: which, at most, and how many there were.
+    pub expected: Vec<(Ended, u64, u64)>,
     /// All fronts ended as told, and every step of the script could be done.
     pub clean: bool,
 }
@@ -56,6 +58,15 @@
             }
         }
         let wasted = if work > 0.0 { lost / work } else { 0.0 };
+        let count = |ended| {
+            let of = |tally: &Tally| match ended {
+                Ended::Refused => tally.refused,
+                Ended::Failed => tally.failed,
+                Ended::Lost => tally.lost,
+            };
+            tallies.values().map(of).sum()
+        };
+        let expected = day.most.iter().map(|(ended, most)| (*ended, *most, count(*ended))).collect();
         Report {
             name: day.name.clone(),
             planned: day.load.requests,
@@ -64,6 +75,7 @@
             effects,
             faults,
             wasted,
+            expected,
             clean,
         }
     }
@@ -71,7 +83,8 @@
     /// All rules held and nothing else went wrong.
     pub fn good(&self) -> bool {
         let missing = self.tallies.values().any(|tally| tally.missing > 0);
-        self.clean && !missing && self.verdicts.iter().all(|verdict| verdict.broken.is_empty())
+        let expected = self.expected.iter().all(|(_, most, seen)| seen <= most);
+        self.clean && !missing && expected && self.verdicts.iter().all(|verdict| verdict.broken.is_empty())
     }
 
     pub fn json(&self) -> Value {
@@ -100,6 +113,9 @@
             "orders_placed": self.effects,
             "faults": self.faults,
             "work_wasted": self.wasted,
+            "expected": self.expected.iter().map(|(ended, most, seen)| {
+                json!({"end": format!("{ended:?}").to_lowercase(), "at_most": most, "seen": seen})
+            }).collect::<Vec<_>>(),
             "clean": self.clean,
             "good": self.good(),
         })
@@ -176,6 +192,10 @@
             self.faults,
             self.wasted * 100.0
         )?;
+        for (ended, most, seen) in &self.expected {
+            let said = if seen <= most { "as expected" } else { "NOT AS EXPECTED" };
+            writeln!(f, "{seen} {}, at most {most}: {said}", format!("{ended:?}").to_lowercase())?;
+        }
         if !self.clean {
             writeln!(f, "a front ended badly, or a step of the script could not be done")?;
         }
--- a/crates/standin/src/host/door.rs
+++ b/crates/standin/src/host/door.rs
@@ -3,12 +3,12 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use elderstage_net::{Listener, Place, Stop, go};
 
-use super::{Shared, lock, serve};
+use super::{Open, Shared, lock, serve};
 
 /// Connections of our own that fill a backlog of one; the system takes one or two more than it says.
 const FILL: usize = 4;
@@ -127,11 +127,12 @@
         }
         self.fault = fault;
         self.bound = None;
-        // Open connections end where nobody is there any more; else they have the fault with their next request.
+        // Idle connections end where nobody takes new ones; else they have the fault with their next request. What
+        // is being answered goes on: the engine is well.
         if matches!(fault, DoorFault::Refuses | DoorFault::Missing | DoorFault::Closes) {
-            for (of, socket) in lock(&shared.sockets).values() {
-                if *of == number {
-                    socket.shut();
+            for open in lock(&shared.sockets).values() {
+                if open.door == number && !open.busy.load(Ordering::SeqCst) {
+                    open.socket.shut();
                 }
             }
         }
@@ -210,10 +211,12 @@
             let shared = shared.clone();
             move |conn: elderstage_net::Conn| {
                 let number = shared.next.fetch_add(1, Ordering::Relaxed);
-                lock(&shared.sockets).insert(number, (door, conn.socket()));
+                let busy = Arc::new(AtomicBool::new(false));
+                let open = Open { door, socket: conn.socket(), busy: busy.clone() };
+                lock(&shared.sockets).insert(number, open);
                 let shared = shared.clone();
                 go(move || {
-                    serve::connection(&shared, conn, door);
+                    serve::connection(&shared, conn, door, &busy);
                     lock(&shared.sockets).remove(&number);
                 });
             }
--- a/crates/standin/src/host/mod.rs
+++ b/crates/standin/src/host/mod.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -74,14 +74,20 @@
     Door(usize, DoorFault),
 }
 
+/// An open connection: the number of its door, and whether a request is being answered on it.
+pub(crate) struct Open {
+    door: usize,
+    socket: Socket,
+    busy: Arc<AtomicBool>,
+}
+
 pub(crate) struct Shared {
     options: Options,
     addr: SocketAddr,
     log: Log,
     faults: Mutex<Faults>,
     inbox: Inbox<Ask>,
-    /// Open connections, each with the number of its door.
-    sockets: Mutex<HashMap<u64, (usize, Socket)>>,
+    sockets: Mutex<HashMap<u64, Open>>,
     next: AtomicU64,
     doors: Vec<Mutex<Door>>,
     running: Mutex<bool>,
@@ -183,7 +189,7 @@
                     shared.doors.iter().for_each(|door| lock(door).shut());
                     shared.inbox.send(Ask::Restart { cold: true });
                     for socket in lock(&shared.sockets).drain() {
-                        socket.1.1.shut();
+                        socket.1.socket.shut();
                     }
                     shared.log.see(&shared.options.name, Seen::Down);
                 }
--- a/crates/standin/src/host/serve.rs
+++ b/crates/standin/src/host/serve.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use elderstage_net::channel::{Receiver, channel};
@@ -47,10 +47,9 @@
     conn.socket().shut();
 }
 
-pub(crate) fn connection(shared: &Arc<Shared>, mut conn: Conn, door: usize) {
+pub(crate) fn connection(shared: &Arc<Shared>, mut conn: Conn, door: usize, busy: &AtomicBool) {
     let fault = lock(&shared.doors[door]).fault();
     match fault {
-        DoorFault::Stalls => return hold(shared, &conn, door, fault),
         DoorFault::Closes => return conn.socket().shut(),
         DoorFault::Slow => sleep(SLOW),
         _ => {}
@@ -88,12 +87,18 @@
                 }
                 continue;
             }
-            DoorFault::Stalls | DoorFault::Silent => return hold(shared, &conn, door, fault),
-            DoorFault::ClosesOnRequest => return conn.socket().shut(),
-            DoorFault::StallsAfterContinue if waits => {
-                let _ = conn.take_body(&head);
-                return hold(shared, &conn, door, fault);
+            DoorFault::Stalls | DoorFault::Silent => {
+                // A body that was sent is noted as received: the rules judge what was sent.
+                let sent = head.target == engine::COMPLETIONS && !waits;
+                let body = if sent { conn.body(head.framing).ok() } else { None };
+                let rid = body.map(|body| shared.see_order(&head, &body));
+                hold(shared, &conn, door, fault);
+                if let Some(rid) = rid {
+                    shared.log.see(&shared.options.name, Seen::Answered { rid, how: "stalled".into() });
+                }
+                return;
             }
+            DoorFault::ClosesOnRequest => return conn.socket().shut(),
             _ => {}
         }
         if conn.take_body(&head).is_err() {
@@ -101,6 +106,13 @@
         }
         let Ok(body) = conn.body(head.framing) else { return };
         let completes = head.target == engine::COMPLETIONS;
+        if fault == DoorFault::StallsAfterContinue && completes {
+            // Noted as received: the body was sent, and the rules judge what was sent.
+            let rid = shared.see_order(&head, &body);
+            hold(shared, &conn, door, fault);
+            shared.log.see(&shared.options.name, Seen::Answered { rid, how: "stalled".into() });
+            return;
+        }
         if fault == DoorFault::StallsAfterHead && completes {
             let rid = shared.see_order(&head, &body);
             let mut out = Vec::new();
@@ -113,7 +125,10 @@
         let keep = head.keep_alive;
         let broken = fault == DoorFault::StallsInBody && completes;
         let request = Request { head: &head, body: &body, stalls: broken.then_some(door) };
-        match request_on(shared, &mut conn, &request) {
+        busy.store(true, Ordering::SeqCst);
+        let done = request_on(shared, &mut conn, &request);
+        busy.store(false, Ordering::SeqCst);
+        match done {
             Ok(Next::Go) if keep => {}
             _ => {
                 conn.socket().shut();
