Slow addresses come last until a trial is quick; overtaken dials by their own delay

Change: an address that takes four times what the best of its server takes, and 20 ms more, comes after the others and is looked at by a trial every five seconds. Whether a dial was overtaken is judged by the delay that stood when it began.

--- a/crates/core/src/addresses/book.rs
+++ b/crates/core/src/addresses/book.rs
@@ -29,6 +29,11 @@
 const SHAKEN: Time = 1_000_000;
 /// Longest time for a trial of a mere suspicion: the shortest delay between two dials, which serves the same end.
 const QUICK: Time = 100_000;
+/// An address is slow when it takes so many times what the best of its server takes, and this much more; and how
+/// long until it is looked at again.
+const SLOW: f64 = 4.0;
+const SLOW_MARGIN: f64 = 20_000.0;
+const SLOW_LOOK: Time = 5_000_000;
 /// An address that has answered something so lately is not suspected.
 const SUSPECT: Time = 200_000;
 /// A server that has left is known for so long: releases and attempts under way may still name it.
@@ -60,6 +65,7 @@
     good_since: Option<Time>,
     failed_at: Time,
     trial: bool,
+    tried: Time,
     /// Since when no listed server has it; none while one does.
     left: Option<Time>,
 }
@@ -105,6 +111,8 @@
     bad: BTreeSet<Place>,
     /// Addresses of which a trial is wanted for a long wait.
     suspects: BTreeSet<Place>,
+    /// When slow addresses are looked for next.
+    slow_look: Time,
     /// Share of this front's jitter, from 0 to 1.
     jitter: f64,
 }
@@ -114,6 +122,14 @@
         self.silences >= SILENCES
     }
 
+    fn cost(&self) -> f64 {
+        self.connect + self.prove
+    }
+
+    fn slow(&self, best: f64) -> bool {
+        self.cost() > best * SLOW + SLOW_MARGIN
+    }
+
     fn bad(&self) -> bool {
         self.fails > 0 || self.doubtful()
     }
@@ -216,14 +232,15 @@
     /// Failed ones are there so that a server of which all have failed is still tried, by a few at a time.
     pub fn order(&self, server: &ServerId, now: Time) -> Vec<Choice> {
         let Some(listed) = self.servers.get(server) else { return Vec::new() };
-        let mut order: Vec<(bool, bool, Time, usize)> = Vec::with_capacity(listed.places.len());
+        let mut order: Vec<(bool, bool, bool, Time, usize)> = Vec::with_capacity(listed.places.len());
+        let best = self.best(&listed.places);
         for (index, place) in listed.places.iter().enumerate() {
             let Some(known) = self.known.get(place) else { continue };
             if known.fails > 0 && known.dialing >= HALF_OPEN {
                 continue;
             }
             let (bad, down) = (known.bad(), self.family_down(place.family()));
-            order.push((bad, down, if bad { known.until } else { 0 }, index));
+            order.push((bad, down, known.slow(best), if bad { known.until } else { 0 }, index));
         }
         order.sort_unstable();
         let choice = |index: usize| {
@@ -242,6 +259,28 @@
         order.into_iter().map(|(.., index)| choice(index)).collect()
     }
 
+    /// What the quickest address that works takes to connect and prove, of those of which it is known.
+    fn best(&self, places: &[Place]) -> f64 {
+        let fit = places.iter().filter_map(|place| self.known.get(place)).filter(|known| !known.bad());
+        fit.map(Known::cost).filter(|cost| *cost > 0.0).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Asks for trials of addresses that come last for being slow.
+    fn look_at_slow(&mut self, now: Time) -> Vec<Place> {
+        if now < self.slow_look {
+            return Vec::new();
+        }
+        self.slow_look = now + SLOW_LOOK / 5;
+        let mut slow = Vec::new();
+        for listed in self.servers.values().filter(|listed| listed.places.len() > 1) {
+            let best = self.best(&listed.places);
+            let due = |known: &Known| known.slow(best) && !known.bad() && now >= known.tried + SLOW_LOOK;
+            slow.extend(listed.places.iter().filter(|place| self.known.get(place).is_some_and(due)).cloned());
+        }
+        self.suspects.extend(slow.iter().cloned());
+        slow
+    }
+
     /// The addresses of a server as they are listed.
     pub fn places(&self, server: &ServerId) -> &[Place] {
         self.servers.get(server).map_or(&[], |listed| &listed.places)
@@ -418,6 +457,7 @@
             }
             out.push(Trial { server, place, family: true, heavy: false, time: connect });
         }
+        let slow = self.look_at_slow(now);
         let wanted = self.bad.union(&self.suspects);
         let due: Vec<Place> = wanted.filter(|place| self.due(place, now)).cloned().collect();
         for place in due {
@@ -427,9 +467,10 @@
             }
             let Some(known) = self.known.get_mut(&place) else { continue };
             known.trial = true;
+            known.tried = now;
             self.suspects.remove(&place);
             // A request waits for what comes of a suspicion.
-            let time = if known.bad() { connect } else { connect.min(QUICK) };
+            let time = if known.bad() || slow.contains(&place) { connect } else { connect.min(QUICK) };
             out.push(Trial { server, heavy: known.doubtful(), place, family: false, time });
         }
         out
@@ -465,9 +506,14 @@
         if let Some(known) = self.known.get_mut(&trial.place) {
             known.trial = false;
             known.silences = if good && trial.heavy { 0 } else { known.silences };
+            if good {
+                // What it takes now, connect and answer together; means of old times would keep it last for long.
+                (known.connect, known.prove) = (0.0, now.saturating_sub(since) as f64);
+            }
         }
         if good {
-            return self.proven(&trial.place, now, Some(now - since.min(now)));
+            // Its time is noted above already.
+            return self.proven(&trial.place, now, Some(now.saturating_sub(since)));
         }
         self.failed(&trial.place, now, since);
         if let Some(state) = self.families.get_mut(&trial.place.family()).filter(|_| trial.family) {
--- a/crates/core/src/addresses/book_tests.rs
+++ b/crates/core/src/addresses/book_tests.rs
@@ -263,3 +263,25 @@
     assert_ne!(pause(3, 0.1), pause(3, 0.9));
     assert_eq!(NAMES.map(|name| name.parse::<Place>().unwrap().family()), ALL);
 }
+
+#[test]
+fn a_slow_address_comes_after_a_quick_one_until_a_trial_is_quick_again() {
+    let (mut book, at) = (book(1), places(0));
+    book.connected(&at[0], 120_000);
+    book.proven(&at[0], S, Some(120_000));
+    assert_eq!(order(&book, 0, S), ALL, "nothing is known to be better");
+    book.connected(&at[2], 300);
+    book.proven(&at[2], S, Some(300));
+    assert_eq!(order(&book, 0, S), UNIX_LAST);
+    let due = trials(&mut book, 10 * S);
+    assert_eq!((due.len(), &due[0].place, due[0].time), (1, &at[0], 250_000));
+    book.tried(&due[0], 10 * S + 240_000, 10 * S, true);
+    assert_eq!(order(&book, 0, 11 * S), UNIX_LAST);
+    assert_eq!(trials(&mut book, 12 * S), [], "not at once again");
+    let due = trials(&mut book, 16 * S);
+    book.tried(&due[0], 16 * S + 600, 16 * S, true);
+    assert_eq!(order(&book, 0, 17 * S), ALL);
+    // A few times slower in small figures is no matter: preference counts.
+    book.connected(&at[0], 10_000);
+    assert_eq!(order(&book, 0, 17 * S), ALL);
+}
--- a/crates/core/src/addresses/race.rs
+++ b/crates/core/src/addresses/race.rs
@@ -85,6 +85,8 @@
     state: State,
     reused: bool,
     stale: u32,
+    /// From when on its dial is late.
+    late: Time,
     /// It failed or was late in this race.
     lost: bool,
 }
@@ -148,6 +150,7 @@
             state: State::Idle,
             reused: false,
             stale: 0,
+            late: 0,
             lost: false,
         };
         Race {
@@ -294,6 +297,7 @@
             Some(at) => {
                 // A dial that has to wait for the budget has its delay from then on.
                 self.next = at.max(now) + delay;
+                self.lanes[lane].late = self.next;
                 self.lanes[lane].state = State::Booked(at);
                 None
             }
@@ -414,9 +418,7 @@
         let lost = self.lanes.iter().filter(|lane| lane.lost).map(|lane| lane.choice.place.clone());
         // Overtaken: another began later and was there first.
         let overtaken = self.lanes.iter().enumerate().filter_map(|(index, lane)| match lane.state {
-            State::Dialing(since)
-                if index != winner && now >= since + self.delay(now, lane.choice.connect) =>
-            {
+            State::Dialing(since) if index != winner && now >= lane.late => {
                 Some((lane.choice.place.clone(), since))
             }
             _ => None,
--- a/crates/rehearsal/src/paths.rs
+++ b/crates/rehearsal/src/paths.rs
@@ -220,8 +220,8 @@
     fn path(&self, place: &Place) -> Path {
         let (family, path) = self.plan.fault;
         let faulty = place.family() == family && (self.plan.from..self.plan.to).contains(&self.now);
-        let on =
-            self.plan.flaps == 0 || ((self.now - self.plan.from.min(self.now)) / self.plan.flaps) % 2 == 0;
+        let on = self.plan.flaps == 0
+            || ((self.now - self.plan.from.min(self.now)) / self.plan.flaps).is_multiple_of(2);
         if faulty && on { path } else { Path::Well }
     }
 
