--- a/crates/core/src/addresses/book.rs
+++ b/crates/core/src/addresses/book.rs
@@ -232,20 +232,22 @@
     /// Failed ones are there so that a server of which all have failed is still tried, by a few at a time.
     pub fn order(&self, server: &ServerId, now: Time) -> Vec<Choice> {
         let Some(listed) = self.servers.get(server) else { return Vec::new() };
-        let mut order: Vec<(bool, bool, bool, Time, usize)> = Vec::with_capacity(listed.places.len());
-        let best = self.best(&listed.places);
-        for (index, place) in listed.places.iter().enumerate() {
-            let Some(known) = self.known.get(place) else { continue };
-            if known.fails > 0 && known.dialing >= HALF_OPEN {
-                continue;
-            }
-            let (bad, down) = (known.bad(), self.family_down(place.family()));
-            order.push((bad, down, known.slow(best), if bad { known.until } else { 0 }, index));
-        }
-        order.sort_unstable();
-        let choice = |index: usize| {
+        let known: Vec<(usize, &Known)> = listed
+            .places
+            .iter()
+            .enumerate()
+            .filter_map(|(index, place)| Some((index, self.known.get(place)?)))
+            .filter(|(_, known)| known.fails == 0 || known.dialing < HALF_OPEN)
+            .collect();
+        let best = best(known.iter().map(|(_, known)| *known));
+        let key = |&(index, known): &(usize, &Known)| {
+            let down = !self.families.is_empty() && self.family_down(listed.places[index].family());
+            (known.bad(), down, known.slow(best), if known.bad() { known.until } else { 0 }, index)
+        };
+        let mut order = known;
+        order.sort_by_cached_key(key);
+        let choice = |(index, known): (usize, &Known)| {
             let place = &listed.places[index];
-            let known = self.known.get(place).cloned().unwrap_or_default();
             let shaken = self.shaken.get(&place.family()).is_some_and(|until| now < *until);
             let fresh = !shaken && known.proven.is_some_and(|at| now < at + PROVEN_FOR);
             Choice {
@@ -256,13 +258,7 @@
                 no_continue: known.no_continue,
             }
         };
-        order.into_iter().map(|(.., index)| choice(index)).collect()
-    }
-
-    /// What the quickest address that works takes to connect and prove, of those of which it is known.
-    fn best(&self, places: &[Place]) -> f64 {
-        let fit = places.iter().filter_map(|place| self.known.get(place)).filter(|known| !known.bad());
-        fit.map(Known::cost).filter(|cost| *cost > 0.0).fold(f64::INFINITY, f64::min)
+        order.into_iter().map(choice).collect()
     }
 
     /// Asks for trials of addresses that come last for being slow.
@@ -273,7 +269,7 @@
         self.slow_look = now + SLOW_LOOK / 5;
         let mut slow = Vec::new();
         for listed in self.servers.values().filter(|listed| listed.places.len() > 1) {
-            let best = self.best(&listed.places);
+            let best = best(listed.places.iter().filter_map(|place| self.known.get(place)));
             let due = |known: &Known| known.slow(best) && !known.bad() && now >= known.tried + SLOW_LOOK;
             slow.extend(listed.places.iter().filter(|place| self.known.get(place).is_some_and(due)).cloned());
         }
@@ -524,6 +520,12 @@
     }
 }
 
+/// What the quickest address that works takes to connect and prove, of those of which it is known.
+fn best<'a>(known: impl Iterator<Item = &'a Known>) -> f64 {
+    let fit = known.filter(|known| !known.bad()).map(Known::cost);
+    fit.filter(|cost| *cost > 0.0).fold(f64::INFINITY, f64::min)
+}
+
 /// Takes one more time into a mean; 0 stands for none yet.
 pub(super) fn learn(mean: &mut f64, took: Time) {
     let took = took.max(1) as f64;
--- /dev/null
+++ b/fuzz/fuzz_targets/address.rs
@@ -0,0 +1,33 @@
+//! Addresses of servers, alone and in a list of servers: no panic, what is taken is written back as it is read, and
+//! an error of a list names its line and field.
+#![no_main]
+
+use elderstage_config::{directives, parse};
+use elderstage_protocol::place::Place;
+use libfuzzer_sys::fuzz_target;
+
+const REST: &str = "zones a\nfront {\n zone a\n}\nclass c {\n repeat safe\n first-token 1s\n give-up 2s\n}\n\
+                    route r {\n class c\n}\nkind k {\n role mixed\n kv-tokens 1000\n}\n";
+
+fuzz_target!(|text: &str| {
+    let place = text.parse::<Place>();
+    if let Ok(place) = &place {
+        assert_eq!(place.to_string().parse::<Place>().as_ref(), Ok(place));
+        let _ = (place.family(), place.host());
+    }
+    // As one quoted word in a list.
+    let word = text.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
+    if word.contains('\r') || word.chars().any(char::is_control) {
+        return;
+    }
+    let file = format!("{REST}server s {{\n kind k\n zone a\n address \"{word}\"\n}}\n");
+    assert!(directives("f", &file).is_ok(), "the word broke its line");
+    match parse("f", &file) {
+        Ok(config) => assert_eq!(config.servers[0].places, [place.expect("the list took what is no address")]),
+        Err(errors) => {
+            let line = REST.lines().count() + 4;
+            assert!(place.is_err(), "{errors}");
+            assert!(errors.0.iter().any(|e| e.line == line && e.what.starts_with("address: value 1")), "{errors}");
+        }
+    }
+});
