The configuration language: places, includes, near names, check, fmt, show, diff, explain

Cause: expectations beside a configuration need a language whose every value knows where it was set; errors had a line and no column, one file held everything, and nothing told what acts.

Every value that acts is recorded where it is read, with its default. elderstage config check, fmt, show, diff and explain; serve uses the same loader.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The `elderstage` program.
 
+mod config;
 mod demo;
 mod measure;
 mod rehearse;
@@ -45,6 +46,11 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Check, format, show, compare and explain configurations.
+    Config {
+        #[command(subcommand)]
+        what: config::What,
+    },
     /// Run stand-in engines, a tool server and one front, and print how to ask it something.
     Demo {
         /// Where the front listens.
@@ -87,6 +93,7 @@
     let cli = Cli::parse();
     let done = log(cli.log, &cli.log_level).and_then(|()| match cli.command {
         Command::Serve { config, addr_file, seed } => serve::serve(&config, addr_file.as_deref(), seed),
+        Command::Config { what } => config::config(&what),
         Command::Demo { listen } => demo::demo(listen),
         Command::Measure { what } => measure::measure(&what),
         Command::Rehearse { script, json, keep, requests } => {
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -25,9 +25,10 @@
 }
 
 pub fn serve(path: &Path, addr_file: Option<&Path>, seed: Option<u64>) -> Result<ExitCode, String> {
-    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-    let config =
-        elderstage_config::parse(&path.display().to_string(), &text).map_err(|errors| errors.to_string())?;
+    let config = match crate::config::read(path) {
+        Ok(loaded) => loaded.config,
+        Err(code) => return Ok(code),
+    };
     let seed = seed.unwrap_or_else(|| {
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
         since.as_nanos() as u64 ^ u64::from(std::process::id())
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -130,7 +130,12 @@
     let bad = run(&["serve", "--config", &path]);
     let said = String::from_utf8(bad.stderr).unwrap();
     assert_eq!(bad.status.code(), Some(2));
-    assert!(said.contains("bad.conf:2: unknown directive lisen"), "{said}");
+    assert!(said.contains("bad.conf:2:5: unknown directive lisen"), "{said}");
+    assert!(said.contains("did you mean listen?"), "{said}");
+    for command in ["check", "show"] {
+        assert_eq!(run(&["config", command, &path]).status.code(), Some(2));
+    }
+    assert_eq!(run(&["config", "fmt", "--check", &path]).status.code(), Some(0));
     assert_eq!(run(&["serve", "--config", "/nowhere.conf"]).status.code(), Some(2));
     assert_eq!(run(&["rehearse", &path]).status.code(), Some(2));
     assert_eq!(run(&["serve"]).status.code(), Some(2));
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,10 +10,14 @@
 //! Everything is checked when it is read; what is unknown, missing, doubled or out of range is an error that names
 //! the file, the line and what was expected. Values are typed: times (`300ms`, `2s`), counts (`20k`), shares.
 
+mod format;
 mod lines;
 mod model;
 mod read;
+mod source;
 
-pub use lines::{ConfigError, Directive, Errors, directives};
+pub use format::format;
+pub use lines::{At, ConfigError, Directive, Errors, directives};
 pub use model::*;
-pub use read::{number, parse, parse_servers, time};
+pub use read::{Effective, number, parse, parse_servers, time};
+pub use source::{Failed, Loaded, Source, diff, load, load_file};
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -4,6 +4,8 @@
 
 use elderstage_protocol::place::Place;
 
+use crate::lines::At;
+
 /// Microseconds.
 pub type Micros = u64;
 
@@ -38,7 +40,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClassConfig {
-    pub line: usize,
+    pub at: At,
     pub name: String,
     pub repeat: RepeatName,
     pub first_token: Micros,
@@ -53,7 +55,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct ToolConfig {
-    pub line: usize,
+    pub at: At,
     pub name: String,
     pub addr: SocketAddr,
     pub path: String,
@@ -64,7 +66,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouteConfig {
-    pub line: usize,
+    pub at: At,
     pub name: String,
     pub class: String,
     pub description: String,
@@ -77,7 +79,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct KindConfig {
-    pub line: usize,
+    pub at: At,
     pub name: String,
     pub role: RoleName,
     pub kv_tokens: f64,
@@ -93,7 +95,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerConfig {
-    pub line: usize,
+    pub at: At,
     pub name: String,
     /// In the order of preference.
     pub places: Vec<Place>,
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -4,57 +4,127 @@
 
 use elderstage_protocol::place::Place;
 
-use crate::lines::{ConfigError, Directive, Errors, directives};
+use crate::lines::{At, ConfigError, Directive, Errors, directives_of, near};
 use crate::model::*;
 
+/// What may stand outside of sections.
+const SECTIONS: [&str; 10] =
+    ["front", "rules", "connections", "zones", "class", "tool", "route", "kind", "server", "servers"];
+/// The beginning of the first file, for what is missing.
+const FIRST: At = At { file: 0, line: 1, column: 1, start: 0, end: 0 };
+
 /// Addresses of one server: more than a box has ways in.
 const MOST_PLACES: usize = 8;
 
 /// Gathers what is wrong, and reads values with a word on what was expected.
 struct Reader<'a> {
-    file: &'a str,
+    /// Names of the files, by their numbers.
+    files: &'a [String],
     errors: Vec<ConfigError>,
+    effective: Vec<Effective>,
+    /// Some lines could not be read: what is missing may stand in them.
+    torn: bool,
+}
+
+/// One value that acts, and where it was set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Effective {
+    /// Such as `front` or `class ask`.
+    pub section: String,
+    pub name: String,
+    pub value: String,
+    /// None for a default.
+    pub at: Option<At>,
 }
 
 /// The directives of one section, each taken at most once.
 struct Section<'a> {
-    line: usize,
+    at: At,
     name: String,
+    /// As it is called in what acts.
+    title: String,
     directives: Vec<Option<&'a Directive>>,
+    /// Names that it may have.
+    known: Vec<&'static str>,
+}
+
+fn title(directive: &Directive) -> String {
+    let words: Vec<&str> =
+        [directive.name.as_str()].into_iter().chain(directive.values.iter().map(String::as_str)).collect();
+    words.join(" ")
+}
+
+/// A section that is not there: all its values are defaults.
+fn empty(name: &str) -> Directive {
+    Directive {
+        at: FIRST,
+        name: name.into(),
+        values: Vec::new(),
+        values_at: Vec::new(),
+        body: Some(Vec::new()),
+    }
 }
 
 impl Reader<'_> {
-    fn wrong(&mut self, line: usize, what: impl Into<String>) {
-        self.errors.push(ConfigError { file: self.file.into(), line, what: what.into() });
+    fn wrong(&mut self, at: At, what: impl Into<String>) {
+        let file = self.files.get(at.file).map_or("", String::as_str);
+        self.errors.push(ConfigError::new(file, at, what));
+    }
+
+    /// Something is not there.
+    fn missing(&mut self, at: At, what: impl Into<String>) {
+        if !self.torn {
+            self.wrong(at, what);
+        }
+    }
+
+    /// With the name that may have been meant.
+    fn wrong_name<'a>(
+        &mut self,
+        at: At,
+        what: impl Into<String>,
+        name: &str,
+        of: impl Iterator<Item = &'a str>,
+    ) {
+        let before = self.errors.len();
+        self.missing(at, what);
+        if let Some(error) = self.errors.get_mut(before) {
+            error.near = near(name, of);
+        }
+    }
+
+    fn acts(&mut self, section: &Section<'_>, name: &str, value: String, at: Option<At>) {
+        self.effective.push(Effective { section: section.title.clone(), name: name.into(), value, at });
     }
 
     fn section<'a>(&mut self, directive: &'a Directive, named: bool) -> Section<'a> {
         let wanted = usize::from(named);
         if directive.values.len() != wanted {
             let what = if named { "one name and {" } else { "{ and no name" };
-            self.wrong(directive.line, format!("expected {} {what}", directive.name));
+            self.wrong(directive.at, format!("expected {} {what}", directive.name));
         }
         let body = match &directive.body {
             Some(body) => body.iter().map(Some).collect(),
             None => {
-                self.wrong(directive.line, format!("expected {{ after {}", directive.name));
+                self.wrong(directive.at, format!("expected {{ after {}", directive.name));
                 Vec::new()
             }
         };
         let name = directive.values.first().cloned().unwrap_or_default();
-        Section { line: directive.line, name, directives: body }
+        Section { at: directive.at, title: title(directive), name, directives: body, known: Vec::new() }
     }
 
     /// The values of a directive; `None` where it is not given.
-    fn take<'a>(&mut self, section: &mut Section<'a>, name: &str) -> Option<&'a Directive> {
+    fn take<'a>(&mut self, section: &mut Section<'a>, name: &'static str) -> Option<&'a Directive> {
+        section.known.push(name);
         let mut found: Option<&'a Directive> = None;
         for slot in &mut section.directives {
             if slot.is_some_and(|d| d.name == name) {
                 let directive = slot.take()?;
                 match found {
                     Some(first) => {
-                        let what = format!("{name} stands already on line {}", first.line);
-                        self.wrong(directive.line, what);
+                        let what = format!("{name} stands already on line {}", first.at.line);
+                        self.wrong(directive.at, what);
                     }
                     None => found = Some(directive),
                 }
@@ -63,7 +133,7 @@
         if let Some(directive) = found
             && directive.body.is_some()
         {
-            self.wrong(directive.line, format!("{name} takes no {{"));
+            self.wrong(directive.at, format!("{name} takes no {{"));
         }
         found
     }
@@ -72,72 +142,69 @@
     fn one<T>(
         &mut self,
         section: &mut Section<'_>,
-        name: &str,
-        default: Option<T>,
+        name: &'static str,
+        default: Option<&str>,
         expected: &str,
         read: impl Fn(&str) -> Option<T>,
         stand_in: T,
     ) -> T {
-        match self.take(section, name) {
-            None => match default {
-                Some(value) => value,
-                None => {
-                    self.wrong(section.line, format!("expected {name} in section \"{}\"", section.name));
-                    stand_in
-                }
-            },
-            Some(directive) => {
-                let value = match directive.values.as_slice() {
-                    [value] => read(value),
-                    _ => None,
-                };
-                value.unwrap_or_else(|| {
-                    let got = directive.values.join(" ");
-                    self.wrong(directive.line, format!("{name}: expected {expected}, not \"{got}\""));
-                    stand_in
-                })
-            }
+        let Some(directive) = self.take(section, name) else {
+            let Some(default) = default else {
+                self.missing(section.at, format!("expected {name} in section \"{}\"", section.name));
+                return stand_in;
+            };
+            self.acts(section, name, default.into(), None);
+            return read(default).unwrap_or(stand_in);
+        };
+        let value = match directive.values.as_slice() {
+            [value] => read(value),
+            _ => None,
+        };
+        let got = directive.values.join(" ");
+        if value.is_none() {
+            self.wrong(directive.value_at(0), format!("{name}: expected {expected}, not \"{got}\""));
         }
+        self.acts(section, name, got, Some(directive.at));
+        value.unwrap_or(stand_in)
     }
 
-    fn time(&mut self, section: &mut Section<'_>, name: &str, default: Option<&str>) -> Micros {
-        let default = default.and_then(time);
+    fn time(&mut self, section: &mut Section<'_>, name: &'static str, default: Option<&str>) -> Micros {
         self.one(section, name, default, "a time such as 300ms or 2s", time, 1)
     }
 
     fn number(
         &mut self,
         section: &mut Section<'_>,
-        name: &str,
+        name: &'static str,
         default: Option<f64>,
         range: (f64, f64),
     ) -> f64 {
         let expected = format!("a number from {} to {}", range.0, range.1);
         let read = |text: &str| number(text).filter(|n| *n >= range.0 && *n <= range.1);
-        self.one(section, name, default, &expected, read, range.0)
+        let default = default.map(|value| value.to_string());
+        self.one(section, name, default.as_deref(), &expected, read, range.0)
     }
 
-    fn text(&mut self, section: &mut Section<'_>, name: &str, default: Option<&str>) -> String {
+    fn text(&mut self, section: &mut Section<'_>, name: &'static str, default: Option<&str>) -> String {
         let read = |text: &str| Some(text.to_owned());
-        self.one(section, name, default.map(str::to_owned), "one word or quoted text", read, String::new())
+        self.one(section, name, default, "one word or quoted text", read, String::new())
     }
 
-    fn addr(&mut self, section: &mut Section<'_>, name: &str, default: Option<&str>) -> SocketAddr {
+    fn addr(&mut self, section: &mut Section<'_>, name: &'static str, default: Option<&str>) -> SocketAddr {
         let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-        let default = default.and_then(|text| text.parse().ok());
         let expected = "an address and port such as 127.0.0.1:8000";
         self.one(section, name, default, expected, |text| text.parse().ok(), nowhere)
     }
 
     /// One or more addresses, in the order of preference.
-    fn places(&mut self, section: &mut Section<'_>, name: &str) -> Vec<Place> {
+    fn places(&mut self, section: &mut Section<'_>, name: &'static str) -> Vec<Place> {
         let Some(directive) = self.take(section, name) else {
-            self.wrong(section.line, format!("expected {name} in section \"{}\"", section.name));
+            self.missing(section.at, format!("expected {name} in section \"{}\"", section.name));
             return Vec::new();
         };
         if directive.values.is_empty() || directive.values.len() > MOST_PLACES {
             let what = format!("{name}: expected from 1 to {MOST_PLACES} addresses");
-            self.wrong(directive.line, what);
+            self.wrong(directive.at, what);
         }
         let mut places: Vec<Place> = Vec::new();
         for (index, value) in directive.values.iter().enumerate() {
@@ -149,31 +216,38 @@
                             "{name}: value {number}: \"{value}\" stands already as value {}",
                             first + 1
                         );
-                        self.wrong(directive.line, what);
+                        self.wrong(directive.value_at(index), what);
                     }
                     None => places.push(place),
                 },
                 Err(error) => {
-                    self.wrong(directive.line, format!("{name}: value {number}: \"{value}\": {error}"));
+                    self.wrong(
+                        directive.value_at(index),
+                        format!("{name}: value {number}: \"{value}\": {error}"),
+                    );
                 }
             }
         }
+        self.acts(section, name, directive.values.join(" "), Some(directive.at));
         places
     }
 
-    fn yes(&mut self, section: &mut Section<'_>, name: &str, default: bool) -> bool {
+    fn yes(&mut self, section: &mut Section<'_>, name: &'static str, default: bool) -> bool {
         let read = |text: &str| match text {
             "yes" => Some(true),
             "no" => Some(false),
             _ => None,
         };
-        self.one(section, name, Some(default), "yes or no", read, false)
+        self.one(section, name, Some(if default { "yes" } else { "no" }), "yes or no", read, false)
     }
 
     fn finish(&mut self, section: Section<'_>) {
         for directive in section.directives.into_iter().flatten() {
             let what = format!("unknown directive {} in section \"{}\"", directive.name, section.name);
-            self.wrong(directive.line, what);
+            self.wrong(directive.at, what);
+            if let Some(error) = self.errors.last_mut() {
+                error.near = near(&directive.name, section.known.iter().copied());
+            }
         }
     }
 }
@@ -214,7 +288,7 @@
 fn repeat(reader: &mut Reader<'_>, section: &mut Section<'_>) -> RepeatName {
     let expected = "repeat: expected safe, unsafe, or keyed with all, zone or cell and a time";
     let Some(directive) = reader.take(section, "repeat") else {
-        reader.wrong(section.line, format!("expected repeat in section \"{}\"", section.name));
+        reader.missing(section.at, format!("expected repeat in section \"{}\"", section.name));
         return RepeatName::Unsafe;
     };
     let words: Vec<&str> = directive.values.iter().map(String::as_str).collect();
@@ -233,19 +307,20 @@
         _ => None,
     };
     read.unwrap_or_else(|| {
-        reader.wrong(directive.line, expected);
+        reader.wrong(directive.at, expected);
         RepeatName::Unsafe
     })
 }
 
 fn class(reader: &mut Reader<'_>, directive: &Directive) -> ClassConfig {
+    let before = reader.errors.len();
     let mut section = reader.section(directive, true);
     let s = &mut section;
     let repeat = repeat(reader, s);
     let first_token = reader.time(s, "first-token", None);
     let give_up = reader.time(s, "give-up", None);
     let class = ClassConfig {
-        line: directive.line,
+        at: directive.at,
         name: s.name.clone(),
         repeat,
         first_token,
@@ -257,11 +332,13 @@
         worth: reader.number(s, "worth", Some(1.0), (0.0, 1e6)),
         late_worth: reader.number(s, "late-worth", Some(0.1), (0.0, 1.0)),
     };
-    if class.first_token == 0 || class.give_up < class.first_token {
-        reader.wrong(directive.line, "expected first-token above 0 and no longer than give-up");
+    // Values that could not be read are told already, and say nothing of each other.
+    let readable = reader.errors.len() == before;
+    if readable && (class.first_token == 0 || class.give_up < class.first_token) {
+        reader.wrong(directive.at, "expected first-token above 0 and no longer than give-up");
     }
-    if class.total < class.give_up {
-        reader.wrong(directive.line, "expected total to be no shorter than give-up");
+    if readable && class.total < class.give_up {
+        reader.wrong(directive.at, "expected total to be no shorter than give-up");
     }
     reader.finish(section);
     class
@@ -279,7 +356,7 @@
         _ => None,
     };
     let tool = ToolConfig {
-        line: directive.line,
+        at: directive.at,
         name: s.name.clone(),
         addr,
         path,
@@ -297,7 +374,7 @@
     let tools = reader.take(s, "tools").map(|d| d.values.clone()).unwrap_or_default();
     let name = s.name.clone();
     let route = RouteConfig {
-        line: directive.line,
+        at: directive.at,
         class: reader.text(s, "class", None),
         description: reader.text(s, "description", Some(&format!("Answers a prompt on route {name}."))),
         model: reader.text(s, "model", Some(&name)),
@@ -328,11 +405,11 @@
     };
     let expected = "continue, health or none";
     let kind = KindConfig {
-        line: directive.line,
+        at: directive.at,
         name: s.name.clone(),
         role: reader.one(s, "role", None, "prefill, decode or mixed", read, RoleName::Mixed),
         kv_tokens: reader.number(s, "kv-tokens", None, (1.0, 1e12)),
-        proof: reader.one(s, "proof", Some(ProofName::Continue), expected, proof, ProofName::None),
+        proof: reader.one(s, "proof", Some("continue"), expected, proof, ProofName::None),
     };
     reader.finish(section);
     kind
@@ -349,14 +426,14 @@
     };
     let expected = "running, draining or gone";
     let server = ServerConfig {
-        line: directive.line,
+        at: directive.at,
         name: s.name.clone(),
         places: reader.places(s, "address"),
         kind: reader.text(s, "kind", None),
         zone: reader.text(s, "zone", None),
         cell: reader.number(s, "cell", Some(0.0), (0.0, 1e6)) as u32,
         weight: reader.number(s, "weight", Some(1.0), (0.001, 1e6)),
-        state: reader.one(s, "state", Some(StateName::Running), expected, read, StateName::Running),
+        state: reader.one(s, "state", Some("running"), expected, read, StateName::Running),
         started: reader.number(s, "started", Some(0.0), (0.0, 1e12)),
     };
     reader.finish(section);
@@ -364,7 +441,7 @@
 }
 
 fn connections(reader: &mut Reader<'_>, directive: Option<&Directive>) -> ConnectionsConfig {
-    let empty = Directive { line: 1, name: "connections".into(), values: Vec::new(), body: Some(Vec::new()) };
+    let empty = empty("connections");
     let mut section = reader.section(directive.unwrap_or(&empty), false);
     let s = &mut section;
     s.name = "connections".into();
@@ -407,7 +484,7 @@
 }
 
 fn rules(reader: &mut Reader<'_>, directive: Option<&Directive>) -> RulesConfig {
-    let empty = Directive { line: 1, name: "rules".into(), values: Vec::new(), body: Some(Vec::new()) };
+    let empty = empty("rules");
     let mut section = reader.section(directive.unwrap_or(&empty), false);
     let s = &mut section;
     s.name = "rules".into();
@@ -430,43 +507,55 @@
     rules
 }
 
-fn unique<'a>(reader: &mut Reader<'_>, what: &str, names: impl Iterator<Item = (usize, &'a str)>) {
+fn unique<'a>(reader: &mut Reader<'_>, what: &str, names: impl Iterator<Item = (At, &'a str)>) {
     let mut seen = std::collections::BTreeMap::new();
-    for (line, name) in names {
-        if let Some(first) = seen.insert(name, line) {
-            reader.wrong(line, format!("{what} {name} stands already on line {first}"));
+    for (at, name) in names {
+        if let Some(first) = seen.insert(name, at) {
+            reader.wrong(at, format!("{what} {name} stands already on line {}", first.line));
         }
     }
 }
 
 /// Checks servers against the kinds and zones that they name.
 fn check_servers(reader: &mut Reader<'_>, servers: &[ServerConfig], kinds: &[KindConfig], zones: &[String]) {
-    unique(reader, "server", servers.iter().map(|s| (s.line, s.name.as_str())));
+    unique(reader, "server", servers.iter().map(|s| (s.at, s.name.as_str())));
     for server in servers {
         // It stands in headers, metrics and logs.
         if server.name.is_empty() || !server.name.bytes().all(|b| b.is_ascii_graphic() && b != b'"') {
             let what = format!("server \"{}\": expected a name without spaces or quotes", server.name);
-            reader.wrong(server.line, what);
+            reader.wrong(server.at, what);
         }
         if !kinds.iter().any(|kind| kind.name == server.kind) {
-            reader.wrong(server.line, format!("server {}: no kind is called {}", server.name, server.kind));
+            let what = format!("server {}: no kind is called {}", server.name, server.kind);
+            reader.wrong_name(server.at, what, &server.kind, kinds.iter().map(|kind| kind.name.as_str()));
         }
         if !zones.contains(&server.zone) {
-            reader.wrong(server.line, format!("server {}: no zone is called {}", server.name, server.zone));
+            let what = format!("server {}: no zone is called {}", server.name, server.zone);
+            reader.wrong_name(server.at, what, &server.zone, zones.iter().map(String::as_str));
         }
     }
 }
 
-/// Reads a whole configuration. `file` is its name in messages.
+/// Reads a whole configuration of one file. `file` is its name in messages.
 pub fn parse(file: &str, text: &str) -> Result<Config, Errors> {
-    let all = directives(file, text)?;
-    let mut reader = Reader { file, errors: Vec::new() };
+    let (all, errors) = directives_of(0, file, text);
+    read(&[file.to_owned()], &all, errors).map(|(config, _)| config)
+}
+
+/// Makes directives into a configuration, with the values that act. `errors` are those of reading the lines: with
+/// them, only what is there is told wrong, and not what may stand in a line that could not be read.
+pub(crate) fn read(
+    files: &[String],
+    all: &[Directive],
+    errors: Vec<ConfigError>,
+) -> Result<(Config, Vec<Effective>), Errors> {
+    let mut reader = Reader { files, torn: !errors.is_empty(), errors, effective: Vec::new() };
     let r = &mut reader;
     let (mut fronts, mut rule_sections, mut zones) = (Vec::new(), Vec::new(), Vec::new());
     let mut connection_sections = Vec::new();
     let (mut classes, mut tools, mut routes) = (Vec::new(), Vec::new(), Vec::new());
     let (mut kinds, mut servers, mut files) = (Vec::new(), Vec::new(), Vec::new());
-    for directive in &all {
+    for directive in all {
         match directive.name.as_str() {
             "front" => fronts.push(directive),
             "rules" => rule_sections.push(directive),
@@ -478,23 +567,26 @@
             "kind" => kinds.push(kind(r, directive)),
             "server" => servers.push(server(r, directive)),
             "servers" => match directive.values.as_slice() {
-                [path] => files.push((directive.line, path.clone())),
-                _ => r.wrong(directive.line, "servers: expected the path of a file"),
+                [path] => files.push((directive.at, path.clone())),
+                _ => r.wrong(directive.at, "servers: expected the path of a file"),
             },
-            other => r.wrong(directive.line, format!("unknown directive {other}")),
+            other => {
+                let what = format!("unknown directive {other}");
+                r.wrong_name(directive.at, what, other, SECTIONS.iter().copied());
+            }
         }
     }
     let doubled = [&fronts, &rule_sections, &connection_sections].map(|list| list.iter().skip(1));
     for doubled in doubled.into_iter().flatten() {
-        r.wrong(doubled.line, format!("{} stands already in this file", doubled.name));
+        r.wrong(doubled.at, format!("{} stands already in this file", doubled.name));
     }
-    if let Some((line, _)) = files.get(1) {
-        r.wrong(*line, "servers stands already in this file");
+    if let Some((at, _)) = files.get(1) {
+        r.wrong(*at, "servers stands already in this file");
     }
     let front = match fronts.first() {
         Some(directive) => Some(front(r, directive)),
         None => {
-            r.wrong(1, "expected a front section");
+            r.missing(FIRST, "expected a front section");
             None
         }
     };
@@ -504,24 +596,27 @@
     check_servers(r, &servers, &kinds, &zones);
     let servers_file = files.into_iter().next().map(|(_, path)| path);
     if servers.is_empty() && servers_file.is_none() {
-        r.wrong(1, "expected a server, or servers with the path of a file");
+        r.missing(FIRST, "expected a server, or servers with the path of a file");
     }
-    let mut errors = reader.errors;
+    let (mut errors, effective) = (reader.errors, reader.effective);
     match front {
-        Some(front) if errors.is_empty() => Ok(Config {
-            front,
-            rules,
-            connections,
-            zones,
-            classes,
-            tools,
-            routes,
-            kinds,
-            servers,
-            servers_file,
-        }),
+        Some(front) if errors.is_empty() => {
+            let config = Config {
+                front,
+                rules,
+                connections,
+                zones,
+                classes,
+                tools,
+                routes,
+                kinds,
+                servers,
+                servers_file,
+            };
+            Ok((config, effective))
+        }
         _ => {
-            errors.sort_by_key(|error| error.line);
+            errors.sort_by_key(|error| (error.at.file, error.at.line, error.at.column));
             Err(Errors(errors))
         }
     }
@@ -537,45 +632,49 @@
     routes: &[RouteConfig],
     kinds: &[KindConfig],
 ) {
-    unique(r, "class", classes.iter().map(|c| (c.line, c.name.as_str())));
-    unique(r, "tool", tools.iter().map(|t| (t.line, t.name.as_str())));
-    unique(r, "route", routes.iter().map(|t| (t.line, t.name.as_str())));
-    unique(r, "kind", kinds.iter().map(|k| (k.line, k.name.as_str())));
+    unique(r, "class", classes.iter().map(|c| (c.at, c.name.as_str())));
+    unique(r, "tool", tools.iter().map(|t| (t.at, t.name.as_str())));
+    unique(r, "route", routes.iter().map(|t| (t.at, t.name.as_str())));
+    unique(r, "kind", kinds.iter().map(|k| (k.at, k.name.as_str())));
     for (what, empty) in
         [("class", classes.is_empty()), ("route", routes.is_empty()), ("kind", kinds.is_empty())]
     {
         if empty {
-            r.wrong(1, format!("expected at least one {what}"));
+            r.missing(FIRST, format!("expected at least one {what}"));
         }
     }
     if zones.is_empty() {
-        r.wrong(1, "expected zones with at least one name");
+        r.missing(FIRST, "expected zones with at least one name");
     }
     if let Some(front) = front
         && !zones.contains(&front.zone)
     {
-        r.wrong(1, format!("front: no zone is called {}", front.zone));
+        r.missing(FIRST, format!("front: no zone is called {}", front.zone));
     }
     if let Some(front) = front
         && front.number >= front.fronts
     {
-        r.wrong(1, "front: expected number to be below fronts");
+        r.missing(FIRST, "front: expected number to be below fronts");
     }
     for route in routes {
         let class = classes.iter().find(|class| class.name == route.class);
         if class.is_none() {
-            r.wrong(route.line, format!("route {}: no class is called {}", route.name, route.class));
+            let what = format!("route {}: no class is called {}", route.name, route.class);
+            r.wrong_name(route.at, what, &route.class, classes.iter().map(|class| class.name.as_str()));
         }
         for name in &route.tools {
             match tools.iter().find(|tool| tool.name == *name) {
-                None => r.wrong(route.line, format!("route {}: no tool is called {name}", route.name)),
+                None => {
+                    let what = format!("route {}: no tool is called {name}", route.name);
+                    r.wrong_name(route.at, what, name, tools.iter().map(|tool| tool.name.as_str()));
+                }
                 // A safe request may run again, and would call the tool again.
                 Some(tool) if tool.effect && class.is_some_and(|c| c.repeat == RepeatName::Safe) => {
                     let what = format!(
                         "route {}: tool {name} has a lasting effect, and class {} is safe to repeat",
                         route.name, route.class
                     );
-                    r.wrong(route.line, what);
+                    r.wrong(route.at, what);
                 }
                 Some(_) => {}
             }
@@ -585,18 +684,19 @@
 
 /// Reads a file of servers, checked against the configuration it belongs to.
 pub fn parse_servers(file: &str, text: &str, config: &Config) -> Result<Vec<ServerConfig>, Errors> {
-    let all = directives(file, text)?;
-    let mut reader = Reader { file, errors: Vec::new() };
+    let (all, errors) = directives_of(0, file, text);
+    let files = [file.to_owned()];
+    let mut reader = Reader { files: &files, torn: !errors.is_empty(), errors, effective: Vec::new() };
     let mut servers = Vec::new();
     for directive in &all {
         match directive.name.as_str() {
             "server" => servers.push(server(&mut reader, directive)),
-            other => reader.wrong(directive.line, format!("expected server, not {other}")),
+            other => reader.wrong(directive.at, format!("expected server, not {other}")),
         }
     }
     check_servers(&mut reader, &servers, &config.kinds, &config.zones);
     if servers.is_empty() {
-        reader.wrong(1, "expected at least one server");
+        reader.missing(FIRST, "expected at least one server");
     }
     if reader.errors.is_empty() { Ok(servers) } else { Err(Errors(reader.errors)) }
 }
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -104,7 +104,7 @@
     ] {
         assert!(GOOD.contains(old), "{old}");
         let found = errors(&GOOD.replacen(old, new, 1));
-        let place = format!("f.conf:{line}: ");
+        let place = format!("f.conf:{line}:");
         assert!(found.iter().any(|e| e.starts_with(&place) && e.contains(wanted)), "{new}: {found:#?}");
     }
 }
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use elderstage_config::{ConfigError, Directive, Errors, directives, number, time};
+use elderstage_config::{At, ConfigError, Directive, Errors, directives, number, time};
 use elderstage_protocol::place::Family;
 use elderstage_standin::host::DoorFault;
 use elderstage_standin::model::{Role, Spec};
@@ -131,8 +131,8 @@
 }
 
 impl Reader<'_> {
-    fn wrong(&mut self, line: usize, what: impl Into<String>) {
-        self.errors.push(ConfigError { file: self.file.into(), line, what: what.into() });
+    fn wrong(&mut self, at: At, what: impl Into<String>) {
+        self.errors.push(ConfigError::new(self.file, at, what));
     }
 
     fn number(&mut self, directive: &Directive, index: usize) -> f64 {
@@ -140,7 +140,7 @@
             Some(value) if value >= 0.0 => value,
             _ => {
                 let what = format!("{}: expected a number as value {}", directive.name, index + 1);
-                self.wrong(directive.line, what);
+                self.wrong(directive.at, what);
                 0.0
             }
         }
@@ -151,7 +151,7 @@
             Some(value) => value,
             None => {
                 let what = format!("{}: expected a time as value {}", directive.name, index + 1);
-                self.wrong(directive.line, what);
+                self.wrong(directive.at, what);
                 0
             }
         }
@@ -162,7 +162,7 @@
             Some(word) => word.clone(),
             None => {
                 let what = format!("{}: expected a word as value {}", directive.name, index + 1);
-                self.wrong(directive.line, what);
+                self.wrong(directive.at, what);
                 String::new()
             }
         }
@@ -177,7 +177,7 @@
                     "prefill" => spec.role = Role::Prefill,
                     "decode" => spec.role = Role::Decode,
                     "mixed" => spec.role = Role::Mixed,
-                    _ => self.wrong(line.line, "role: expected prefill, decode or mixed"),
+                    _ => self.wrong(line.at, "role: expected prefill, decode or mixed"),
                 },
                 "slots" => spec.slots = self.number(line, 0) as usize,
                 "queue" => spec.queue = self.number(line, 0) as usize,
@@ -191,7 +191,7 @@
                 "cold-for" => spec.cold_for = self.time(line, 0),
                 "fall-multiple" => spec.fall_multiple = self.number(line, 0),
                 "tip-after" => spec.tip_after = self.time(line, 0),
-                other => self.wrong(line.line, format!("unknown directive {other} in kind {name}")),
+                other => self.wrong(line.at, format!("unknown directive {other} in kind {name}")),
             }
         }
         Kind { name, spec }
@@ -227,11 +227,11 @@
                     let tool = line.values.get(2).cloned().map(|tool| (tool, self.number(line, 3)));
                     load.mix.push(Mix { route: self.word(line, 0), share: self.number(line, 1), tool });
                 }
-                other => self.wrong(line.line, format!("unknown directive {other} in load")),
+                other => self.wrong(line.at, format!("unknown directive {other} in load")),
             }
         }
         if load.mix.is_empty() {
-            self.wrong(directive.line, "load: expected a mix");
+            self.wrong(directive.at, "load: expected a mix");
         }
         load
     }
@@ -243,7 +243,7 @@
             "failed" => Ended::Failed,
             "lost" => Ended::Lost,
             _ => {
-                self.wrong(directive.line, "expect: expected refused, failed or lost, and a number");
+                self.wrong(directive.at, "expect: expected refused, failed or lost, and a number");
                 return None;
             }
         };
@@ -256,8 +256,9 @@
         for word in directive.values.iter().skip(4) {
             match family(word) {
                 Some(way) if !ways.contains(&way) => ways.push(way),
-                _ => self
-                    .wrong(directive.line, "engine: expected unix, ipv6 or ipv4, each once, after the cell"),
+                _ => {
+                    self.wrong(directive.at, "engine: expected unix, ipv6 or ipv4, each once, after the cell")
+                }
             }
         }
         if ways.is_empty() { vec![Family::V4] } else { ways }
@@ -295,19 +296,19 @@
         if words.len() >= 2 && words[words.len() - 2] == "for" {
             lasts = time(&words[words.len() - 1]);
             if lasts.is_none() {
-                self.wrong(directive.line, "at: expected a time after for");
+                self.wrong(directive.at, "at: expected a time after for");
             }
             words.truncate(words.len() - 2);
         }
         let texts: Vec<&str> = words.iter().map(String::as_str).collect();
         let Some((step, end)) = step(&texts) else {
             let what = format!("at: expected something to do, not \"{}\"", texts.join(" "));
-            return self.wrong(directive.line, what);
+            return self.wrong(directive.at, what);
         };
         steps.push((Duration::from_micros(begins), step));
         match (lasts, end) {
             (Some(lasts), Some(end)) => steps.push((Duration::from_micros(begins + lasts), end)),
-            (Some(_), None) => self.wrong(directive.line, "at: this takes no for"),
+            (Some(_), None) => self.wrong(directive.at, "at: this takes no for"),
             _ => {}
         }
     }
@@ -441,7 +442,7 @@
                 let ways = r.ways(directive);
                 match kinds.iter().position(|kind| kind.name == of) {
                     Some(kind) => engines.push(Engine { name, kind, zone, cell, ways }),
-                    None => r.wrong(directive.line, format!("engine {name}: no kind {of} stands above")),
+                    None => r.wrong(directive.at, format!("engine {name}: no kind {of} stands above")),
                 }
             }
             "front" => fronts.push(Front { name: r.word(directive, 0), zone: r.word(directive, 1) }),
@@ -449,7 +450,7 @@
             "load" => load = Some(r.load(directive)),
             "expect" => most.extend(r.expect(directive)),
             "at" => r.at(directive, &mut steps),
-            other => r.wrong(directive.line, format!("unknown directive {other}")),
+            other => r.wrong(directive.at, format!("unknown directive {other}")),
         }
     }
     if !all.iter().any(|directive| directive.name == "class") {
@@ -459,19 +460,19 @@
         [("an engine", engines.is_empty()), ("a front", fronts.is_empty()), ("a load", load.is_none())]
     {
         if missing {
-            r.wrong(1, format!("expected {what}"));
+            r.wrong(At::default(), format!("expected {what}"));
         }
     }
     for (_, step) in &steps {
         let (engine, front, zone) = names(step);
         if let Some(name) = engine.filter(|name| !engines.iter().any(|e| e.name == **name)) {
-            r.wrong(1, format!("no engine is called {name}"));
+            r.wrong(At::default(), format!("no engine is called {name}"));
         }
         if let Some(name) = front.filter(|name| !fronts.iter().any(|f| f.name == **name)) {
-            r.wrong(1, format!("no front is called {name}"));
+            r.wrong(At::default(), format!("no front is called {name}"));
         }
         if let Some(name) = zone.filter(|name| !zones.contains(name)) {
-            r.wrong(1, format!("no zone is called {name}"));
+            r.wrong(At::default(), format!("no zone is called {name}"));
         }
     }
     steps.sort_by_key(|(at, _)| *at);
@@ -486,7 +487,7 @@
             steps,
         }),
         _ => {
-            reader.errors.sort_by_key(|error| error.line);
+            reader.errors.sort_by_key(|error| (error.at.line, error.at.column));
             Err(Errors(reader.errors))
         }
     }
--- a/fuzz/fuzz_targets/address.rs
+++ b/fuzz/fuzz_targets/address.rs
@@ -27,7 +27,7 @@
         Err(errors) => {
             let line = REST.lines().count() + 4;
             assert!(place.is_err(), "{errors}");
-            assert!(errors.0.iter().any(|e| e.line == line && e.what.starts_with("address: value 1")), "{errors}");
+            assert!(errors.0.iter().any(|e| e.at.line == line && e.what.starts_with("address: value 1")), "{errors}");
         }
     }
 });
