--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -103,7 +103,9 @@
             let before = &text[..good];
             let line = before.matches('\n').count() + 1;
             let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
-            let at = At { file: number, line, column, start: good, end: good + 1 };
+            // What stands there in the text that is shown. Guards against a range that cuts it.
+            let end = good + char::REPLACEMENT_CHARACTER.len_utf8();
+            let at = At { file: number, line, column, start: good, end };
             let what = "this byte is no UTF-8; the file must be UTF-8 text";
             self.errors.push(ConfigError::new(&name, at, what));
         }
--- a/crates/config/tests/language.rs
+++ b/crates/config/tests/language.rs
@@ -101,6 +101,8 @@
         told(&[("main.conf", &bytes)]),
         ["main.conf:2:6: this byte is no UTF-8; the file must be UTF-8 text"]
     );
+    let shown = loaded(&[("main.conf", &bytes)]).unwrap_err().render(false);
+    assert!(shown.contains("main.conf:2:6") && shown.contains("no UTF-8"), "{shown}");
     assert!(bad(&GOOD.replacen("zone a", "zone a\u{1}", 1))[0].contains("control character"));
     // A file cut in half.
     for end in 0..GOOD.len() - 2 {
