A listener that is told to stop always hears it

Cause: in a run of the tests on a busy machine a stand-in's door could not be bound again and a state stayed pinned for 1.1 s: the wake-up of a stopped listener came between its look at the flag and its wait and was lost, so the socket stayed bound and took connections that nobody served.

Change: the listening socket is shut as well, which is ready for ever.

--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -1,8 +1,8 @@
 //! Accepting connections in a coroutine, until told to stop.
 
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, ToSocketAddrs};
-use std::os::fd::{AsRawFd, RawFd};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, ToSocketAddrs};
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd, RawFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
 use std::sync::Arc;
@@ -11,7 +11,7 @@
 
 use elderstage_protocol::place::Place;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
-use socket2::{Domain, SockAddr, Socket, Type};
+use socket2::{Domain, SockAddr, SockRef, Socket, Type};
 
 use crate::conn::Conn;
 use crate::stream::Stream;
@@ -27,6 +27,15 @@
     Unix(UnixListener),
 }
 
+impl AsFd for Door {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        match self {
+            Door::Tcp(listener) => listener.as_fd(),
+            Door::Unix(listener) => listener.as_fd(),
+        }
+    }
+}
+
 impl AsRawFd for Door {
     fn as_raw_fd(&self) -> RawFd {
         match self {
@@ -58,12 +67,19 @@
 pub struct Stop {
     stop: Arc<AtomicBool>,
     waker: WaitIoWaker,
+    door: std::sync::Weak<Door>,
 }
 
 impl Stop {
     /// The listener accepts nothing more and closes. The path of a Unix socket stays, as after a process's death.
     pub fn stop(&self) {
         if !self.stop.swap(true, Ordering::SeqCst) {
+            // A wake-up alone may come between the look at the flag and the wait, and be lost: the socket would stay
+            // bound and take connections that nobody serves. One that is shut is ready for ever.
+            if let Some(door) = self.door.upgrade() {
+                // An error means that it is shut already.
+                let _ = SockRef::from(&*door).shutdown(Shutdown::Both);
+            }
             self.waker.wakeup();
         }
     }
@@ -132,7 +148,7 @@
     }
 
     pub fn stopper(&self) -> Stop {
-        Stop { stop: self.stop.clone(), waker: self.io.waker() }
+        Stop { stop: self.stop.clone(), waker: self.io.waker(), door: Arc::downgrade(&self._last) }
     }
 
     /// Hands each connection to `each` until stopped. Must run in a coroutine. `short` is told when the system
@@ -148,6 +164,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.io.wait_io();
                 }
+                Err(_) if self.stop.load(Ordering::SeqCst) => break,
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(error) => {
                     short(&error);
