README names the new commands with an example that is tested; one plan of an outage

Change: README, examples/small.conf with two expectations, run by the program's tests; one plan that the restart changes; such a proof counts as none, and the next address is tried. Left for the issues: the two heads' parsers share nine lines (crates/protocol/src/http.rs), and AttemptEnded's fields are listed again in crates/expect.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -136,6 +136,10 @@
         assert_eq!(run(&["config", command, &path]).status.code(), Some(2));
     }
     assert_eq!(run(&["config", "fmt", "--check", &path]).status.code(), Some(0));
+    // The example that the README names.
+    let example =
+        Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/small.conf").display().to_string();
+    assert_eq!(run(&["config", "test", &example]).status.code(), Some(0));
     // Expectations: one that holds, one that does not, none at all.
     let site = "zones a\nfront {\n zone a\n}\nclass c {\n repeat safe\n first-token 1s\n give-up 2s\n}\nroute r {\n class c\n}\n\
                 kind k {\n role mixed\n kv-tokens 200k\n}\nserver s {\n address 127.0.0.1:1\n kind k\n zone a\n}\n";
--- a/crates/front/src/links.rs
+++ b/crates/front/src/links.rs
@@ -426,6 +426,8 @@
                 Some(head) => by_head(link, &head),
                 None => match links.health(&mut link, time, &[]) {
                     Ok(answer) if answer.head.status == 200 && answer.head.keep_alive => Word::On(link),
+                    // Good, and closed: there is nothing to send on.
+                    Ok(answer) if answer.head.status == 200 => Word::Nothing,
                     Ok(answer) => Word::Final(answer.head.status),
                     Err(_) => Word::Nothing,
                 },
--- a/crates/rehearsal/src/paths.rs
+++ b/crates/rehearsal/src/paths.rs
@@ -474,7 +474,11 @@
 
 /// A network that is gone for 30 s, as seen by so many fronts of 60 servers with three addresses each.
 pub fn outage(fronts: usize, servers: usize, seed: u64) -> Outcome {
-    simulate(Plan {
+    simulate(gone(fronts, servers, seed))
+}
+
+fn gone(fronts: usize, servers: usize, seed: u64) -> Plan {
+    Plan {
         fronts,
         servers,
         ways: vec![Family::V6, Family::V4, Family::Unix],
@@ -487,7 +491,7 @@
         to: 40 * S,
         end: 60 * S,
         seed,
-    })
+    }
 }
 
 /// The outage by number of fronts.
@@ -528,18 +532,11 @@
 /// fronts neither storm them nor take it for a dead network.
 pub fn restart(fronts: usize, servers: usize, seed: u64) -> Outcome {
     simulate(Plan {
-        fronts,
-        servers,
-        ways: vec![Family::V6, Family::V4, Family::Unix],
-        rate: 200.0,
-        policy: Policy::Learned,
         fault: (None, Path::Refuses),
         faulty: servers / 2,
-        flaps: 0,
-        from: 10 * S,
         to: 20 * S,
         end: 40 * S,
-        seed,
+        ..gone(fronts, servers, seed)
     })
 }
 
