--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod demo;
 mod measure;
+mod node;
 mod rehearse;
 mod serve;
 
@@ -46,6 +47,12 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Run a front node of the platform until SIGTERM; SIGHUP takes its configuration anew.
+    Node {
+        /// The configuration, where the environment's PROXY_CONFIG does not name it.
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
     /// Check, format, show, compare and explain configurations.
     Config {
         #[command(subcommand)]
@@ -93,6 +100,7 @@
     let cli = Cli::parse();
     let done = log(cli.log, &cli.log_level).and_then(|()| match cli.command {
         Command::Serve { config, addr_file, seed } => serve::serve(&config, addr_file.as_deref(), seed),
+        Command::Node { config } => node::node(config),
         Command::Config { what } => config::config(&what),
         Command::Demo { listen } => demo::demo(listen),
         Command::Measure { what } => measure::measure(&what),
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use elderstage_protocol::http::{self, Body, Framing, HttpError, Limits};
-use may::io::{CoIo, WaitIo};
+use may::io::{CoIo, WaitIo, WaitIoWaker};
 use thiserror::Error;
 
 use crate::stream::Stream;
@@ -51,6 +51,16 @@
     }
 }
 
+/// Wakes a coroutine that waits in [`Conn::pause`], from any thread; it looks itself at what it was woken for. One
+/// that does not wait yet does not wait the next time.
+pub struct Waker(WaitIoWaker);
+
+impl Waker {
+    pub fn wake(&self) {
+        self.0.wakeup();
+    }
+}
+
 /// A connection with what has been read and not used yet.
 pub struct Conn {
     io: CoIo<Arc<Stream>>,
@@ -125,6 +135,16 @@
         self.write_timeout = time;
     }
 
+    pub fn waker(&self) -> Waker {
+        Waker(self.io.waker())
+    }
+
+    /// Waits until something has changed on the socket, its waker is called, or `until`; returns early at times.
+    pub fn pause(&self, until: Option<Instant>) {
+        // The time is the caller's to look at.
+        let _ = self.wait(until);
+    }
+
     /// Waits until something can be done with the socket, or `until`.
     fn wait(&self, until: Option<Instant>) -> Result<(), NetError> {
         if until.is_some_and(|until| Instant::now() >= until) {
@@ -153,10 +173,56 @@
         }
     }
 
-    fn pending(&self) -> &[u8] {
+    /// What has come and was not used yet.
+    pub fn pending(&self) -> &[u8] {
         &self.buffer[self.at..]
     }
 
+    /// So many bytes of what has come were used.
+    pub fn used(&mut self, n: usize) {
+        self.at = (self.at + n).min(self.buffer.len());
+    }
+
+    /// Gives memory back that a large message needed.
+    pub fn shrink(&mut self) {
+        if self.at > 0 {
+            self.buffer.drain(..self.at);
+            self.at = 0;
+        }
+        self.buffer.shrink_to(0);
+    }
+
+    /// Takes what has come without waiting; `false` where nothing has.
+    pub fn fill_now(&mut self) -> Result<bool, NetError> {
+        if self.at > 0 {
+            self.buffer.drain(..self.at);
+            self.at = 0;
+        }
+        let old = self.buffer.len();
+        self.buffer.resize(old + READ, 0);
+        let read = self.io.inner().read(&mut self.buffer[old..]);
+        self.buffer.truncate(old + *read.as_ref().unwrap_or(&0));
+        match read {
+            Ok(0) => Err(NetError::Closed),
+            Ok(_) => Ok(true),
+            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+                Ok(false)
+            }
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// The next response's head if it has come whole; interim responses (1xx) are passed over.
+    pub fn response_now(&mut self) -> Result<Option<http::Response>, NetError> {
+        while let Some((head, n)) = http::parse_response(self.pending(), self.limits)? {
+            self.at += n;
+            if head.status >= 200 {
+                return Ok(Some(head));
+            }
+        }
+        Ok(None)
+    }
+
     /// Bytes that have come and were not used yet.
     pub fn has_pending(&self) -> bool {
         !self.pending().is_empty()
@@ -176,6 +242,12 @@
         !self.has_pending() && matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Ends writing: the peer reads to the end of what was written.
+    pub fn end(&self) {
+        // An error means that the peer has closed it already.
+        let _ = self.io.inner().end();
+    }
+
     /// Whether the peer has closed it, with what it sent before, read or not, left aside.
     pub fn is_closed(&self) -> bool {
         match self.io.inner().peek() {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,11 +12,11 @@
 mod watch;
 
 pub use client::{Answer, Endpoint, exchange, open, receive, send, waiting_head};
-pub use conn::{Conn, NetError, Socket};
+pub use conn::{Conn, NetError, Socket, Waker};
 pub use elderstage_protocol::place::Place;
 pub use listener::{Listener, Stop};
 pub use may::coroutine::sleep;
-pub use spawn::{STACK_WORDS, go, init};
+pub use spawn::{STACK_WORDS, go, init, init_small};
 pub use stream::Stream;
 pub use watch::alarm;
 
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    pub(crate) fn end(&self) -> io::Result<()> {
+        match self {
+            Stream::Tcp(stream) => stream.shutdown(Shutdown::Write),
+            Stream::Unix(stream) => stream.shutdown(Shutdown::Write),
+        }
+    }
+
     pub(crate) fn try_clone(&self) -> io::Result<Stream> {
         match self {
             Stream::Tcp(stream) => stream.try_clone().map(Stream::Tcp),
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,204 @@
+//! A front node of the platform on real sockets: `elderstage node`. Decides nothing: coroutines report what happened
+//! to one owner, which holds the hub and with it the module, and carry out what they are told.
+
+mod client;
+mod discovery;
+mod engine;
+mod guests;
+mod limits;
+mod owner;
+mod pool;
+mod room;
+mod seat;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use elderstage::settings::Names;
+use elderstage_net::owner::{Clock, Inbox, queue, run};
+use elderstage_net::{Conn, Listener, go, init_small};
+use elderstage_platform::hub::{Hub, Input};
+use elderstage_platform::start::{Start, StartError};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use thiserror::Error;
+
+use guests::Guests;
+use owner::{In, Owner};
+use pool::Pool;
+use room::Rooms;
+
+/// Events that may wait for the owner; who adds to a full queue waits.
+const QUEUE: usize = 4096;
+/// New connections are accepted for so long after SIGTERM: the platform's distributor needs up to 0.4 s to notice.
+const STILL_ACCEPTS: Duration = Duration::from_millis(450);
+/// How often the main thread looks for signals and at what is to be tidied.
+const TICK: Duration = Duration::from_millis(20);
+/// How often idle connections are looked at, and the state is written to the log.
+const TIDY: Duration = Duration::from_secs(1);
+const TRACE: Duration = Duration::from_secs(10);
+/// The program may end when nothing was open for so long: answers are on their way then.
+const QUIET: Duration = Duration::from_millis(200);
+
+/// Why a node does not start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    #[error("{path}: {error}")]
+    Read { path: String, error: std::io::Error },
+    #[error("{path}: {error}")]
+    Config { path: String, error: StartError },
+    #[error("{at}: {error}")]
+    Listen { at: SocketAddr, error: std::io::Error },
+    #[error("cannot start: {0}")]
+    System(std::io::Error),
+}
+
+/// What all coroutines use.
+pub(crate) struct Shared {
+    names: Names,
+    connect: Duration,
+    inbox: Inbox<In>,
+    pool: Arc<Pool>,
+    guests: Arc<Guests>,
+    bodies: Arc<Rooms>,
+    next_id: AtomicU32,
+    ready: AtomicBool,
+    /// Connections are closed after their answer.
+    closing: AtomicBool,
+    open: AtomicUsize,
+    letting_go: AtomicUsize,
+    discovery: Mutex<(SocketAddr, u64)>,
+}
+
+impl Shared {
+    fn tell(&self, event: In) {
+        // The owner lives as long as the process.
+        self.inbox.send(event);
+    }
+
+    fn closing(&self) -> bool {
+        self.closing.load(Ordering::SeqCst)
+    }
+
+    /// Where discovery is, and how often it has moved.
+    fn discovery(&self) -> (SocketAddr, u64) {
+        *self.discovery.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn move_discovery(&self, to: SocketAddr) {
+        let mut at = self.discovery.lock().unwrap_or_else(PoisonError::into_inner);
+        if at.0 != to {
+            *at = (to, at.1 + 1);
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<Start, NodeError> {
+    let shown = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).map_err(|error| NodeError::Read { path: shown.clone(), error })?;
+    Start::parse(&text).map_err(|error| NodeError::Config { path: shown, error })
+}
+
+/// Runs a node until SIGTERM or SIGINT and until all it took is answered.
+pub fn node(path: &Path) -> Result<(), NodeError> {
+    let start = read(path)?;
+    // Caught from here on: a signal during the start waits.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(NodeError::System)?;
+    let shares = limits::Shares::of(start.allowed);
+    init_small(shares.stacks);
+    let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let clock = Clock::new(u64::try_from(epoch.as_micros()).unwrap_or_default());
+    let (inbox, events) = queue(QUEUE);
+    let shared = Arc::new(Shared {
+        connect: Duration::from_micros(start.settings.connect_timeout.max(1)),
+        pool: Pool::new(shares.engines, start.names.idle_close.map(Duration::from_micros)),
+        guests: Guests::new(shares.clients),
+        bodies: Rooms::new(shares.bodies),
+        names: start.names,
+        inbox,
+        next_id: AtomicU32::new(1),
+        ready: AtomicBool::new(false),
+        closing: AtomicBool::new(false),
+        open: AtomicUsize::new(0),
+        letting_go: AtomicUsize::new(0),
+        discovery: Mutex::new((start.discovery, 0)),
+    });
+    let hub = Hub::new(start.settings, start.seed);
+    run("owner", clock, events, Owner::new(hub, shared.clone())).map_err(NodeError::System)?;
+    let seq = start.known.seq;
+    shared.tell(In::Hub(Input::Listed { list: start.known, restored: true }));
+    let listener =
+        Listener::bind(start.listen).map_err(|error| NodeError::Listen { at: start.listen, error })?;
+    let stop = listener.stopper();
+    let accepting = shared.clone();
+    go(move || {
+        listener
+            .serve(|conn| accept(&accepting, conn), |error| tracing::warn!(target: "node", %error, "accept"))
+    });
+    let watching = shared.clone();
+    go(move || discovery::watch(&watching, seq));
+    shared.ready.store(true, Ordering::SeqCst);
+    tracing::info!(target: "node", name = %start.name, listen = %start.listen, ?shares, "ready");
+    let (mut term, mut quiet): (Option<Instant>, Option<Instant>) = (None, None);
+    let (mut tidy, mut trace) = (Instant::now(), Instant::now());
+    loop {
+        for signal in signals.pending() {
+            match signal {
+                SIGHUP => reload(&shared, path),
+                _ if term.is_none() => {
+                    tracing::info!(target: "node", "told to stop");
+                    term = Some(Instant::now());
+                }
+                _ => {}
+            }
+        }
+        if tidy.elapsed() >= TIDY {
+            tidy = Instant::now();
+            shared.pool.reap();
+        }
+        if trace.elapsed() >= TRACE {
+            trace = Instant::now();
+            shared.tell(In::Trace);
+        }
+        if let Some(at) = term.filter(|at| at.elapsed() >= STILL_ACCEPTS) {
+            if !shared.closing.swap(true, Ordering::SeqCst) {
+                stop.stop();
+                shared.guests.dismiss_idle();
+                tracing::info!(target: "node", after_ms = at.elapsed().as_millis() as u64, "accepts no more");
+            }
+            let busy = shared.open.load(Ordering::SeqCst) > 0
+                || shared.letting_go.load(Ordering::SeqCst) > 0
+                || !shared.guests.is_empty()
+                || shared.inbox.waiting() > 0;
+            quiet = if busy { None } else { quiet.or(Some(Instant::now())) };
+            if quiet.is_some_and(|since| since.elapsed() >= QUIET) {
+                tracing::info!(target: "node", "all answered");
+                return Ok(());
+            }
+            shared.guests.dismiss_idle();
+        }
+        std::thread::sleep(TICK);
+    }
+}
+
+fn accept(shared: &Arc<Shared>, conn: Conn) {
+    // Where all places are taken by requests there is no descriptor left for another.
+    let Some(place) = shared.guests.enter(conn.waker()) else { return };
+    let shared = shared.clone();
+    go(move || client::serve(&shared, conn, &place));
+}
+
+/// Takes a new configuration whole or not at all. Engines, requests and connections stay.
+fn reload(shared: &Shared, path: &Path) {
+    match read(path) {
+        Ok(start) => {
+            shared.move_discovery(start.discovery);
+            tracing::info!(target: "node", discovery = %start.discovery, "configuration taken");
+        }
+        Err(error) => tracing::error!(target: "node", %error, "configuration not taken, the old one stays"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner.rs
@@ -0,0 +1,123 @@
+//! The one owner of the hub and with it of the module: events in from all coroutines, commands out to them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use elderstage::ReqId;
+use elderstage_net::owner::{Machine, Micros};
+use elderstage_platform::ask::Ask;
+use elderstage_platform::hub::{Command, Hub, Input};
+
+use crate::Shared;
+use crate::engine::{self, Attempt};
+use crate::seat::{Mail, Seat};
+
+/// What coroutines and threads tell the owner.
+pub enum In {
+    /// A request was read whole.
+    Open {
+        id: ReqId,
+        ask: Ask,
+        seat: Arc<Seat>,
+    },
+    Hub(Input),
+    /// Write what is held and counted to the log.
+    Trace,
+}
+
+pub struct Owner {
+    hub: Hub,
+    shared: Arc<Shared>,
+    seats: HashMap<ReqId, Arc<Seat>>,
+    commands: Vec<Command>,
+}
+
+impl Owner {
+    pub fn new(hub: Hub, shared: Arc<Shared>) -> Owner {
+        Owner { hub, shared, seats: HashMap::new(), commands: Vec::new() }
+    }
+
+    fn carry_out(&mut self) {
+        let mut commands = std::mem::take(&mut self.commands);
+        for command in commands.drain(..) {
+            self.command(command);
+        }
+        self.commands = commands;
+        let (open, _) = self.hub.held();
+        self.shared.open.store(open, Ordering::SeqCst);
+        self.shared.letting_go.store(self.hub.letting_go(), Ordering::SeqCst);
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Send { id, attempt, server, dial, timeout } => {
+                let Some(seat) = self.seats.get(&id).cloned() else { return };
+                let timeout = Duration::from_micros(timeout);
+                engine::attempt(&self.shared, Attempt { id, attempt, server, dial, timeout, seat });
+            }
+            Command::Cancel { id, attempt } => {
+                if let Some(seat) = self.seats.get(&id) {
+                    seat.cancel(attempt);
+                }
+            }
+            Command::Move { id } => {
+                if let Some(seat) = self.seats.get(&id) {
+                    seat.post(Mail::Cut);
+                }
+            }
+            Command::Answer { id, last } => {
+                if let Some(seat) = self.seats.get(&id) {
+                    tracing::debug!(target: "answered", trace = %seat.parts.trace, ?last);
+                    seat.post(Mail::Last(last));
+                }
+            }
+            Command::Release { id, trace, holder, dial } => {
+                engine::release(&self.shared, id, &trace, holder, dial);
+            }
+            Command::Probe { server, dial } => engine::probe(&self.shared, server, dial),
+            Command::Forget { id } => {
+                self.seats.remove(&id);
+            }
+        }
+    }
+
+    /// What the module holds beside what is open on sockets.
+    fn trace(&self) {
+        let (open, leases) = self.hub.held();
+        let (links, idle) = self.shared.pool.counts();
+        let out: usize = self.hub.in_flight().values().sum();
+        tracing::info!(
+            target: "node", open, attempts = out, seats = self.seats.len(), leases, servers = self.hub.servers(),
+            engine_connections = links, idle, client_connections = self.shared.guests.len(),
+            body_bytes = self.shared.bodies.taken(), counts = ?self.hub.counts(), "state",
+        );
+    }
+}
+
+impl Machine for Owner {
+    type Event = In;
+
+    fn handle(&mut self, now: Micros, event: In) -> bool {
+        match event {
+            In::Open { id, ask, seat } => {
+                self.seats.insert(id, seat);
+                self.hub.handle(now, Input::Arrived { id, ask }, &mut self.commands);
+            }
+            In::Hub(input) => self.hub.handle(now, input, &mut self.commands),
+            In::Trace => self.trace(),
+        }
+        self.carry_out();
+        true
+    }
+
+    fn next_timer(&self) -> Option<Micros> {
+        self.hub.next_timer()
+    }
+
+    fn wake(&mut self, now: Micros) {
+        self.hub.wake(now, &mut self.commands);
+        self.carry_out();
+    }
+}
--- /dev/null
+++ b/crates/platform/src/hub.rs
@@ -0,0 +1,412 @@
+//! The state of a front node: what has happened on its sockets becomes the module's events, and the module's actions
+//! become commands for sockets. One owner drives it; it does no I/O and is told the time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use elderstage::{
+    Action, Arrival, Event, ListMode, Outcome, ReportField, ReqId, Role, Router, ServerId, Settings, Time,
+};
+
+use crate::ask::Ask;
+use crate::leases::{Call, Leases};
+use crate::list::{Directory, List};
+use crate::report;
+
+/// What has happened.
+#[derive(Debug)]
+pub enum Input {
+    /// A client's request was read whole. An id is never used twice.
+    Arrived { id: ReqId, ask: Ask },
+    /// The client has gone away.
+    Gone { id: ReqId },
+    /// The first event of an attempt's stream is being passed on.
+    First { id: ReqId, attempt: u32 },
+    /// An attempt has ended and its connection is closed or free.
+    Ended { id: ReqId, attempt: u32, outcome: Outcome, note: u64, report: Option<String> },
+    /// A probe has ended.
+    Probed { server: ServerId, outcome: Outcome, report: Option<String> },
+    /// A list came from discovery.
+    Listed { list: List, restored: bool },
+    /// A release was said; `heard`: its last byte was written on a connection that had come up.
+    Said { id: ReqId, holder: ServerId, heard: bool },
+}
+
+/// The final answer to a client, other than a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Last {
+    /// Turned away; trying again is harmless. Advice in microseconds, 0 for none.
+    Refused {
+        retry_after: Time,
+    },
+    Failed,
+    /// Another request with this id is open: this one was not taken.
+    Open,
+}
+
+/// What is to be done on sockets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    Send {
+        id: ReqId,
+        attempt: u32,
+        server: ServerId,
+        dial: SocketAddr,
+        timeout: Time,
+    },
+    Cancel {
+        id: ReqId,
+        attempt: u32,
+    },
+    /// Ends a running stream; its client comes again.
+    Move {
+        id: ReqId,
+    },
+    Answer {
+        id: ReqId,
+        last: Last,
+    },
+    Release {
+        id: ReqId,
+        trace: Box<str>,
+        holder: ServerId,
+        dial: SocketAddr,
+    },
+    Probe {
+        server: ServerId,
+        dial: SocketAddr,
+    },
+    /// Nothing more will be said of it.
+    Forget {
+        id: ReqId,
+    },
+}
+
+#[derive(Debug)]
+struct Out {
+    attempt: u32,
+    server: ServerId,
+    sent: Time,
+    /// It reads a prompt and leaves a state behind.
+    reads: bool,
+}
+
+#[derive(Debug)]
+struct Open {
+    trace: Box<str>,
+    attempts: u32,
+    out: Option<Out>,
+    streaming: bool,
+    /// Answered, or its client has gone.
+    over: bool,
+}
+
+/// What a node has counted since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub broken: u64,
+    pub gone: u64,
+    pub attempts: u64,
+    pub probes: u64,
+    pub probes_unread: u64,
+    pub releases: u64,
+    pub releases_again: u64,
+}
+
+/// The state of a front node.
+pub struct Hub {
+    router: Router,
+    fields: Vec<ReportField>,
+    roles: Vec<Role>,
+    directory: Directory,
+    /// Servers whose role is to read.
+    readers: HashMap<ServerId, bool>,
+    open: BTreeMap<ReqId, Open>,
+    ids: HashMap<Box<str>, ReqId>,
+    leases: Leases,
+    timers: BinaryHeap<Reverse<(Time, u64)>>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    counts: Counts,
+}
+
+impl Hub {
+    pub fn new(settings: Settings, seed: u64) -> Hub {
+        Hub {
+            fields: settings.report_fields.clone(),
+            roles: settings.roles.clone(),
+            router: Router::new(settings, seed),
+            directory: Directory::default(),
+            readers: HashMap::new(),
+            open: BTreeMap::new(),
+            ids: HashMap::new(),
+            leases: Leases::default(),
+            timers: BinaryHeap::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Requests that are open, and requests for which something may be held.
+    pub fn held(&self) -> (usize, usize) {
+        (self.open.len(), self.leases.len())
+    }
+
+    /// Releases that have not been heard yet.
+    pub fn letting_go(&self) -> usize {
+        self.leases.letting_go()
+    }
+
+    pub fn servers(&self) -> usize {
+        self.directory.len()
+    }
+
+    /// By server, the attempts that the module counts there: what a trace compares with open sockets.
+    pub fn in_flight(&self) -> BTreeMap<ServerId, usize> {
+        let mut by = BTreeMap::new();
+        for out in self.open.values().filter_map(|open| open.out.as_ref()) {
+            *by.entry(out.server.clone()).or_insert(0) += 1;
+        }
+        by
+    }
+
+    pub fn next_timer(&self) -> Option<Time> {
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Called at or after the time of the next timer.
+    pub fn wake(&mut self, now: Time, out: &mut Vec<Command>) {
+        while let Some(Reverse((at, name))) = self.timers.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.timers.pop();
+            self.events.push_back(Event::Timer { name });
+        }
+        self.run(now, out);
+    }
+
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Command>) {
+        match input {
+            Input::Arrived { id, ask } => self.arrived(id, ask, out),
+            Input::Gone { id } => {
+                if let Some(open) = self.open.get_mut(&id).filter(|open| !open.over) {
+                    open.over = true;
+                    self.counts.gone += 1;
+                    self.events.push_back(Event::ClientGone { id });
+                }
+            }
+            Input::First { id, attempt } => self.first(now, id, attempt),
+            Input::Ended { id, attempt, outcome, note, report } => {
+                self.ended(now, id, attempt, outcome, note, report.as_deref());
+            }
+            Input::Probed { server, outcome, report } => {
+                let load = report.as_deref().and_then(|text| report::parse(text, &self.fields));
+                self.counts.probes_unread += u64::from(load.is_none());
+                self.events.push_back(Event::Probed { server, outcome, took: 0, load });
+            }
+            Input::Listed { list, restored } => self.listed(list, restored),
+            Input::Said { id, holder, heard } => {
+                if let Some(call) = self.leases.said(id, &holder, heard, now) {
+                    self.counts.releases_again += 1;
+                    self.call(id, call, out);
+                }
+            }
+        }
+        self.run(now, out);
+    }
+
+    fn arrived(&mut self, id: ReqId, ask: Ask, out: &mut Vec<Command>) {
+        if self.ids.contains_key(&ask.trace) {
+            out.push(Command::Answer { id, last: Last::Open });
+            out.push(Command::Forget { id });
+            return;
+        }
+        self.counts.taken += 1;
+        self.ids.insert(ask.trace.clone(), id);
+        let open = Open { trace: ask.trace, attempts: 0, out: None, streaming: false, over: false };
+        self.open.insert(id, open);
+        self.events.push_back(Event::Arrived(Arrival {
+            id,
+            class: ask.class,
+            tenant: ask.tenant,
+            session: ask.session,
+            prefix: ask.prefix,
+            time_left: ask.time_left,
+            hint: ask.hint,
+            prompt: ask.prompt,
+            shared: ask.shared,
+            max_out: ask.max_out,
+            repeat: ask.repeat,
+            returned: ask.returned,
+        }));
+    }
+
+    fn first(&mut self, now: Time, id: ReqId, attempt: u32) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(of) = open.out.as_ref().filter(|of| of.attempt == attempt) else { return };
+        open.streaming = true;
+        self.leases.taken(id);
+        let (server, took) = (of.server.clone(), now.saturating_sub(of.sent));
+        self.events.push_back(Event::Streaming { id, attempt, server, took });
+    }
+
+    fn ended(&mut self, now: Time, id: ReqId, attempt: u32, outcome: Outcome, note: u64, told: Option<&str>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(of) = open.out.take_if(|of| of.attempt == attempt) else { return };
+        self.leases.wanted(id, false);
+        // A read may have ended well at the moment its connection was closed or broke.
+        let left = outcome == Outcome::Read || !outcome.never_ran();
+        if of.reads && left && !open.streaming {
+            self.leases.may_hold(id, &open.trace, &of.server);
+        }
+        let settled = outcome == Outcome::Served || open.streaming;
+        if settled && !open.over {
+            open.over = true;
+            if outcome == Outcome::Served { self.counts.served += 1 } else { self.counts.broken += 1 }
+        }
+        let settled = open.over;
+        let load = told.and_then(|text| report::parse(text, &self.fields));
+        self.events.push_back(Event::Ended {
+            id,
+            attempt,
+            server: of.server,
+            outcome,
+            took: now.saturating_sub(of.sent),
+            settled,
+            note,
+            load,
+        });
+    }
+
+    fn listed(&mut self, list: List, restored: bool) {
+        if list.whole {
+            self.readers.clear();
+        }
+        for host in &list.hosts {
+            let reads = self.roles.get(host.entry.kind) == Some(&Role::Prefill);
+            self.readers.insert(host.entry.server.clone(), reads);
+        }
+        let (mode, entries) = self.directory.take(list, restored);
+        let directory = &self.directory;
+        self.readers.retain(|server, _| directory.dial(server).is_some());
+        self.events.push_back(Event::Servers { mode, entries });
+    }
+
+    fn call(&mut self, id: ReqId, call: Call, out: &mut Vec<Command>) {
+        let own = self.directory.dial(&call.holder);
+        let running = self.directory.running();
+        // Every second try goes to another engine, each time to the next one.
+        let other = || {
+            let others: Vec<_> = running.iter().filter(|(server, _)| *server != call.holder).collect();
+            let at = (id.0 as usize).wrapping_add(call.tries as usize);
+            others.get(at % others.len().max(1)).map(|(_, dial)| *dial)
+        };
+        let dial = if call.tries.is_multiple_of(2) { own.or_else(other) } else { other().or(own) };
+        match dial {
+            Some(dial) => {
+                self.counts.releases += 1;
+                out.push(Command::Release { id, trace: call.trace, holder: call.holder, dial });
+            }
+            // No engine is known at all: there is nobody to tell, and nobody who holds anything.
+            None => self.leases.taken(id),
+        }
+    }
+
+    /// Feeds the module until nothing is left to be told.
+    fn run(&mut self, now: Time, out: &mut Vec<Command>) {
+        while let Some(event) = self.events.pop_front() {
+            let of = match &event {
+                Event::Ended { id, .. } | Event::ClientGone { id } => Some(*id),
+                _ => None,
+            };
+            let mut actions = std::mem::take(&mut self.actions);
+            self.router.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, out);
+            }
+            self.actions = actions;
+            if let Some(id) = of {
+                self.forget(id, out);
+            }
+        }
+    }
+
+    fn forget(&mut self, id: ReqId, out: &mut Vec<Command>) {
+        if self.open.get(&id).is_some_and(|open| open.over && open.out.is_none())
+            && let Some(open) = self.open.remove(&id)
+        {
+            self.ids.remove(&open.trace);
+            out.push(Command::Forget { id });
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Command>) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(now, id, server, timeout, out),
+            Action::Refuse { id, retry_after } => self.answer(id, Last::Refused { retry_after }, out),
+            Action::Fail { id } => self.answer(id, Last::Failed, out),
+            Action::Cancel { id, attempt } => out.push(Command::Cancel { id, attempt }),
+            Action::Release { id } => {
+                for call in self.leases.release(id, now) {
+                    self.call(id, call, out);
+                }
+            }
+            Action::Probe { server } => {
+                self.counts.probes += 1;
+                match self.directory.dial(&server) {
+                    Some(dial) => out.push(Command::Probe { server, dial }),
+                    None => self.events.push_back(Event::Probed {
+                        server,
+                        outcome: Outcome::NoConnection,
+                        took: 0,
+                        load: None,
+                    }),
+                }
+            }
+            Action::Timer { after, name } => self.timers.push(Reverse((now + after, name))),
+            // The watch is always open: what it has brought is all there is.
+            Action::Subscribe => {
+                self.events.push_back(Event::Servers { mode: ListMode::Changes, entries: Vec::new() });
+            }
+            Action::Move { id } => out.push(Command::Move { id }),
+        }
+    }
+
+    fn send(&mut self, now: Time, id: ReqId, server: ServerId, timeout: Time, out: &mut Vec<Command>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        self.counts.attempts += 1;
+        let reads = self.readers.get(&server).copied().unwrap_or(false);
+        open.out = Some(Out { attempt, server: server.clone(), sent: now, reads });
+        self.leases.wanted(id, true);
+        match self.directory.dial(&server) {
+            Some(dial) => out.push(Command::Send { id, attempt, server, dial, timeout }),
+            None => self.ended(now, id, attempt, Outcome::NoConnection, 0, None),
+        }
+    }
+
+    fn answer(&mut self, id: ReqId, last: Last, out: &mut Vec<Command>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if !open.over {
+            open.over = true;
+            match last {
+                Last::Refused { .. } => self.counts.refused += 1,
+                _ => self.counts.failed += 1,
+            }
+            out.push(Command::Answer { id, last });
+        }
+        self.forget(id, out);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/list.rs
@@ -0,0 +1,168 @@
+//! Discovery's lists: lines of JSON to entries of the module, and how each server is reached.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use elderstage::settings::Names;
+use elderstage::{Entry, ListMode, Listed, ServerId, Time};
+use serde::Deserialize;
+use serde_json::Value;
+use thiserror::Error;
+
+/// Why a list is not taken; what stood before stays.
+#[derive(Debug, Error)]
+pub enum ListError {
+    #[error("bad JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("host {host}: {what}")]
+    Host { host: String, what: String },
+}
+
+/// A position that the settings do not name: no role, zone or kind of theirs.
+const UNNAMED: usize = u32::MAX as usize;
+
+#[derive(Deserialize)]
+struct WireList {
+    #[serde(default)]
+    seq: u64,
+    #[serde(default)]
+    whole: bool,
+    #[serde(default)]
+    hosts: Vec<WireHost>,
+}
+
+#[derive(Deserialize)]
+struct WireHost {
+    host: String,
+    #[serde(default)]
+    dial: String,
+    #[serde(default)]
+    site: String,
+    #[serde(default)]
+    class: String,
+    #[serde(default)]
+    block: u32,
+    #[serde(default)]
+    health: String,
+    #[serde(default = "one")]
+    share: f64,
+    #[serde(default)]
+    born_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A server of a list, and where it is reached. A server that has left may come without an address.
+#[derive(Clone, Debug)]
+pub struct Host {
+    pub entry: Entry,
+    pub dial: Option<SocketAddr>,
+}
+
+/// A list or the changes to one.
+#[derive(Clone, Debug)]
+pub struct List {
+    pub seq: u64,
+    pub whole: bool,
+    pub hosts: Vec<Host>,
+}
+
+/// Where the servers are that the lists have named.
+#[derive(Debug, Default)]
+pub struct Directory {
+    dials: HashMap<ServerId, (SocketAddr, Listed)>,
+}
+
+impl Directory {
+    /// Reads a list; names become positions in the settings.
+    pub fn read(value: &Value, names: &Names) -> Result<List, ListError> {
+        Directory::convert(serde::de::Deserialize::deserialize(value)?, names)
+    }
+
+    /// Reads one line of a watch, or a whole answer.
+    pub fn parse(text: &[u8], names: &Names) -> Result<List, ListError> {
+        Directory::convert(serde_json::from_slice(text)?, names)
+    }
+
+    fn convert(list: WireList, names: &Names) -> Result<List, ListError> {
+        let position =
+            |of: &[String], name: &str| of.iter().position(|known| known == name).unwrap_or(UNNAMED);
+        let mut hosts = Vec::with_capacity(list.hosts.len());
+        for host in list.hosts {
+            let wrong = |what: String| ListError::Host { host: host.host.clone(), what };
+            let listed = match host.health.as_str() {
+                "SERVING" => Listed::Running,
+                "DRAINING" => Listed::Draining,
+                "DELETED" => Listed::Gone,
+                other => {
+                    return Err(wrong(format!("health {other:?} is none of SERVING, DRAINING, DELETED")));
+                }
+            };
+            let dial = host.dial.parse::<SocketAddr>().ok();
+            if dial.is_none() && listed != Listed::Gone {
+                return Err(wrong(format!("dial {:?} is no address and port", host.dial)));
+            }
+            if host.host.is_empty() {
+                return Err(wrong("has no name".into()));
+            }
+            let entry = Entry {
+                server: ServerId(host.host.as_str().into()),
+                listed,
+                kind: position(&names.kinds, &host.class),
+                zone: position(&names.zones, &host.site) as u32,
+                cell: host.block,
+                weight: if host.share.is_finite() && host.share > 0.0 { host.share } else { 1.0 },
+                // The node's clock counts from the Unix epoch.
+                ready_at: host.born_ms.saturating_mul(1000) as Time,
+            };
+            hosts.push(Host { entry, dial });
+        }
+        Ok(List { seq: list.seq, whole: list.whole, hosts })
+    }
+
+    /// Takes a list over and gives the module's entries. `restored`: it is what was known before a restart.
+    pub fn take(&mut self, list: List, restored: bool) -> (ListMode, Vec<Entry>) {
+        if list.whole {
+            self.dials.clear();
+        }
+        let mut entries = Vec::with_capacity(list.hosts.len());
+        for host in list.hosts {
+            match host.dial {
+                Some(dial) if host.entry.listed != Listed::Gone => {
+                    self.dials.insert(host.entry.server.clone(), (dial, host.entry.listed));
+                }
+                // Guards against a long day's growth: a server that has left is forgotten.
+                _ => drop(self.dials.remove(&host.entry.server)),
+            }
+            entries.push(host.entry);
+        }
+        let mode = match (restored, list.whole) {
+            (true, _) => ListMode::Restored,
+            (_, true) => ListMode::Full,
+            _ => ListMode::Changes,
+        };
+        (mode, entries)
+    }
+
+    pub fn dial(&self, server: &ServerId) -> Option<SocketAddr> {
+        self.dials.get(server).map(|(dial, _)| *dial)
+    }
+
+    /// All that run, in the order of their names.
+    pub fn running(&self) -> Vec<(ServerId, SocketAddr)> {
+        let running = self.dials.iter().filter(|(_, (_, listed))| *listed == Listed::Running);
+        let mut running: Vec<_> = running.map(|(server, (dial, _))| (server.clone(), *dial)).collect();
+        running.sort_unstable();
+        running
+    }
+
+    pub fn len(&self) -> usize {
+        self.dials.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.dials.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/start.rs
@@ -0,0 +1,120 @@
+//! What a front node is told at its start, by the environment and its configuration file.
+
+use std::net::SocketAddr;
+
+use elderstage::Settings;
+use elderstage::settings::{self, Names};
+use serde_json::Value;
+use thiserror::Error;
+
+use crate::list::{Directory, List, ListError};
+
+/// Why a configuration is not taken.
+#[derive(Debug, Error)]
+pub enum StartError {
+    #[error("bad JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("{0}: is missing")]
+    Missing(&'static str),
+    #[error("{key}: {value} is not {wanted}")]
+    Wrong { key: &'static str, value: String, wanted: &'static str },
+    #[error("settings: {0}")]
+    Settings(#[from] settings::SettingsError),
+    #[error("known: {0}")]
+    Known(#[from] ListError),
+}
+
+/// What the machine allows this node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowed {
+    /// Share of one core.
+    pub cores: f64,
+    pub memory_mb: u64,
+    /// File descriptors.
+    pub descriptors: u64,
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug)]
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub allowed: Allowed,
+    pub settings: Settings,
+    pub names: Names,
+    /// The list as this node last had it; may be old.
+    pub known: List,
+}
+
+fn field<'a>(root: &'a Value, key: &'static str) -> Result<&'a Value, StartError> {
+    root.get(key).filter(|value| !value.is_null()).ok_or(StartError::Missing(key))
+}
+
+fn wrong(key: &'static str, value: &Value, wanted: &'static str) -> StartError {
+    StartError::Wrong { key, value: value.to_string(), wanted }
+}
+
+fn addr(root: &Value, key: &'static str) -> Result<SocketAddr, StartError> {
+    let value = field(root, key)?;
+    value.as_str().and_then(|text| text.parse().ok()).ok_or_else(|| wrong(key, value, "an address and port"))
+}
+
+fn number(limits: &Value, key: &'static str, absent: f64) -> Result<f64, StartError> {
+    match limits.get(key) {
+        None | Some(Value::Null) => Ok(absent),
+        Some(value) => {
+            let found = value.as_f64().filter(|number| number.is_finite() && *number > 0.0);
+            found.ok_or_else(|| wrong(key, value, "a number above 0"))
+        }
+    }
+}
+
+/// Limits where none are told: a common machine's.
+const CORES: f64 = 1.0;
+const MEMORY_MB: f64 = 2048.0;
+const DESCRIPTORS: f64 = 1024.0;
+
+impl Start {
+    /// Reads the text of a configuration file. It is taken whole or not at all.
+    pub fn parse(text: &str) -> Result<Start, StartError> {
+        let root: Value = serde_json::from_str(text)?;
+        if !root.is_object() {
+            return Err(wrong("configuration", &Value::Null, "an object"));
+        }
+        let seed = match root.get("seed") {
+            None | Some(Value::Null) => 0,
+            Some(Value::Number(number)) => {
+                number.as_u64().ok_or_else(|| wrong("seed", &root["seed"], "a whole number"))?
+            }
+            Some(value) => {
+                let hex = value.as_str().and_then(|text| u64::from_str_radix(text, 16).ok());
+                hex.ok_or_else(|| wrong("seed", value, "up to 16 hexadecimal digits"))?
+            }
+        };
+        let limits = root.get("limits").unwrap_or(&Value::Null);
+        let allowed = Allowed {
+            cores: number(limits, "cores", CORES)?,
+            memory_mb: number(limits, "memory_mb", MEMORY_MB)? as u64,
+            descriptors: number(limits, "sockets", DESCRIPTORS)? as u64,
+        };
+        let object = field(&root, "settings")?;
+        let (set, names) = (settings::from_value(object)?, settings::names(object)?);
+        let known = match root.get("known") {
+            None | Some(Value::Null) => List { seq: 0, whole: true, hosts: Vec::new() },
+            Some(value) => Directory::read(value, &names)?,
+        };
+        let name = root.get("name").and_then(Value::as_str).unwrap_or_default().to_owned();
+        Ok(Start {
+            name,
+            listen: addr(&root, "listen")?,
+            discovery: addr(&root, "discovery")?,
+            seed,
+            allowed,
+            settings: set,
+            names,
+            known,
+        })
+    }
+}
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -209,12 +209,27 @@
     left: u64,
     chunk: Chunk,
     line: Vec<u8>,
+    /// Largest chunk that is taken.
+    most_chunk: u64,
+    /// Content given so far of a chunk whose end has not come.
+    unsure: usize,
 }
 
 impl Body {
     pub fn new(framing: Framing) -> Body {
         let left = if let Framing::Length(n) = framing { n } else { 0 };
-        Body { framing, left, chunk: Chunk::Size, line: Vec::new() }
+        Body { framing, left, chunk: Chunk::Size, line: Vec::new(), most_chunk: u64::MAX, unsure: 0 }
+    }
+
+    /// A chunk that claims more bytes than this is malformed.
+    pub fn with_most_chunk(self, most_chunk: u64) -> Body {
+        Body { most_chunk, ..self }
+    }
+
+    /// How many of the bytes given last are of a chunk whose end has not come where its size says: they may still
+    /// turn out to be no chunk's.
+    pub fn unsure(&self) -> usize {
+        self.unsure
     }
 
     pub fn framing(&self) -> Framing {
@@ -253,6 +268,7 @@
             if let Chunk::Data(left) = self.chunk {
                 let n = (bytes.len() - at).min(usize::try_from(left).unwrap_or(usize::MAX));
                 out.extend_from_slice(&bytes[at..at + n]);
+                self.unsure += n;
                 at += n;
                 let left = left - n as u64;
                 self.chunk = if left == 0 { Chunk::DataEnd } else { Chunk::Data(left) };
@@ -302,10 +318,14 @@
                 }
                 match u64::from_str_radix(digits, 16).map_err(|_| HttpError::Chunk)? {
                     0 => Chunk::Trailer,
+                    n if n > self.most_chunk => return Err(HttpError::Chunk),
                     n => Chunk::Data(n),
                 }
             }
-            Chunk::DataEnd if line.is_empty() => Chunk::Size,
+            Chunk::DataEnd if line.is_empty() => {
+                self.unsure = 0;
+                Chunk::Size
+            }
             Chunk::DataEnd => return Err(HttpError::Chunk),
             Chunk::Trailer if line.is_empty() => Chunk::Done,
             other => other,
--- a/src/bin/elderstage-simhost/main.rs
+++ b/src/bin/elderstage-simhost/main.rs
@@ -1,7 +1,6 @@
 //! Hosts instances of the decision module on the simulator's wire: text in, events to the routers,
 //! their actions out as text. Decides nothing.
 
-mod settings;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -9,7 +8,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use elderstage::{Action, Entry, Event, ListMode, Outcome, Router};
+use elderstage::{Action, Entry, Event, ListMode, Outcome, Router, settings};
 use wire::{Fail, Line};
 
 /// All that one process hosts.
@@ -71,7 +70,9 @@
             }
             "ATTACH" => {
                 let who = self.current.ok_or_else(|| Fail::new("who", "no AT line names the instance"))?;
-                let router = Router::new(settings::read(line.text("profile-data")?)?, line.int("salt")?);
+                let set = settings::read(line.text("profile-data")?);
+                let set = set.map_err(|error| Fail::new("profile-data", error.to_string()))?;
+                let router = Router::new(set, line.int("salt")?);
                 self.routers.insert(who, router);
             }
             "HALT" => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,8 @@
 
 mod api;
 mod brain;
+#[cfg(feature = "settings")]
+pub mod settings;
 
 pub use api::*;
 pub use brain::Router;
--- a/src/bin/elderstage-simhost/settings.rs
+++ b/src/settings.rs
@@ -1,10 +1,45 @@
-//! The settings object, as the wire gives it, to the module's `Settings`. A key that is missing has
-//! its neutral reading: nothing allowed, no bound, no cost.
+//! The settings object of a deployment, as the simulator's wire and a front node's configuration give it, to the
+//! module's `Settings`. A key that is missing has its neutral reading: nothing allowed, no bound, no cost.
+
+use std::fmt;
 
-use elderstage::{Class, Discovery, Group, Repeat, ReportField, Role, Settings, Tenant};
 use serde_json::Value;
 
-use crate::wire::Fail;
+use crate::api::{Class, Discovery, Group, Repeat, ReportField, Role, Settings, Tenant, Time};
+
+/// What is wrong with the settings, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError {
+    /// Keys and positions that lead to the value; empty for the whole.
+    pub path: String,
+    pub what: String,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.path.is_empty() {
+            write!(to, "{}", self.what)
+        } else {
+            write!(to, "{}: {}", self.path, self.what)
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// What the settings call things by name, in the order of the positions that the module knows, and the limits that
+/// concern sockets and not the module.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Names {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    /// Servers close a connection that was idle for so long; `None` where nothing is said.
+    pub idle_close: Option<Time>,
+    /// The longest time that a client of any class waits.
+    pub longest_wait: Time,
+}
 
 /// A value and the path that leads to it, for messages.
 struct At<'a> {
@@ -18,11 +53,11 @@
         At { value: self.value.get(key).unwrap_or(&Value::Null), path }
     }
 
-    fn wrong<T>(&self, wanted: &str) -> Result<T, Fail> {
-        Err(Fail::new(format!("profile-data {}", self.path), format!("{} is not {wanted}", self.value)))
+    fn wrong<T>(&self, wanted: &str) -> Result<T, SettingsError> {
+        Err(SettingsError { path: self.path.clone(), what: format!("{} is not {wanted}", self.value) })
     }
 
-    fn number(&self, absent: f64) -> Result<f64, Fail> {
+    fn number(&self, absent: f64) -> Result<f64, SettingsError> {
         match self.value.as_f64() {
             Some(number) if number.is_finite() && number >= 0.0 => Ok(number),
             None if self.value.is_null() => Ok(absent),
@@ -30,7 +65,7 @@
         }
     }
 
-    fn whole(&self, absent: u64) -> Result<u64, Fail> {
+    fn whole(&self, absent: u64) -> Result<u64, SettingsError> {
         let number = self.number(absent as f64)?;
         if number.fract() == 0.0 && number <= 9.0e18 {
             Ok(number as u64)
@@ -39,11 +74,11 @@
         }
     }
 
-    fn small(&self, absent: u32) -> Result<u32, Fail> {
+    fn small(&self, absent: u32) -> Result<u32, SettingsError> {
         u32::try_from(self.whole(absent.into())?).or_else(|_| self.wrong("a small whole number"))
     }
 
-    fn flag(&self) -> Result<bool, Fail> {
+    fn flag(&self) -> Result<bool, SettingsError> {
         match self.value {
             Value::Null => Ok(false),
             Value::Bool(flag) => Ok(*flag),
@@ -51,7 +86,7 @@
         }
     }
 
-    fn word(&self) -> Result<&'a str, Fail> {
+    fn word(&self) -> Result<&'a str, SettingsError> {
         match self.value {
             Value::Null => Ok(""),
             Value::String(word) => Ok(word),
@@ -59,7 +94,7 @@
         }
     }
 
-    fn list(&self) -> Result<Vec<At<'a>>, Fail> {
+    fn list(&self) -> Result<Vec<At<'a>>, SettingsError> {
         match self.value {
             Value::Null => Ok(Vec::new()),
             Value::Array(items) => {
@@ -71,10 +106,40 @@
     }
 }
 
-pub fn read(text: &str) -> Result<Settings, Fail> {
+/// From JSON text.
+pub fn read(text: &str) -> Result<Settings, SettingsError> {
     let object: Value = serde_json::from_str(text)
-        .map_err(|error| Fail::new("profile-data", format!("bad JSON: {error}")))?;
-    let root = At { value: &object, path: String::new() };
+        .map_err(|error| SettingsError { path: String::new(), what: format!("bad JSON: {error}") })?;
+    from_value(&object)
+}
+
+/// The names that the settings give, by position.
+pub fn names(object: &Value) -> Result<Names, SettingsError> {
+    let root = At { value: object, path: String::new() };
+    let words = |key: &str| -> Result<Vec<String>, SettingsError> {
+        root.get(key).list()?.iter().map(|item| item.word().map(str::to_owned)).collect()
+    };
+    let named = |key: &str| -> Result<Vec<String>, SettingsError> {
+        root.get(key).list()?.iter().map(|item| item.get("name").word().map(str::to_owned)).collect()
+    };
+    let mut longest_wait = 0;
+    for class in root.get("services").list()? {
+        longest_wait = longest_wait.max(class.get("give-up-us").whole(0)?);
+    }
+    let idle_close = root.get("limits").get("idle-close-us").whole(0)?;
+    Ok(Names {
+        zones: words("zones")?,
+        kinds: words("skus")?,
+        classes: named("services")?,
+        tenants: named("orgs")?,
+        idle_close: Some(idle_close).filter(|time| *time > 0),
+        longest_wait,
+    })
+}
+
+/// From parsed JSON.
+pub fn from_value(object: &Value) -> Result<Settings, SettingsError> {
+    let root = At { value: object, path: String::new() };
     if !object.is_object() {
         return root.wrong("an object");
     }
@@ -85,7 +150,7 @@
             return part.wrong("an object");
         }
     }
-    let nth = |at: &At, index: usize, absent: f64| -> Result<f64, Fail> {
+    let nth = |at: &At, index: usize, absent: f64| -> Result<f64, SettingsError> {
         at.list()?.get(index).map_or(Ok(absent), |item| item.number(absent))
     };
     let mut classes = Vec::new();
