A front that ends moves the streams it would cut, spread over the end of its time

Ruled out: engines (no error), discovery (address followed in 0.2 s), sockets (way in 0.4 ms). Event::Stopping tells the module the time that is left; it moves running streams one by one (Action::Move was unused so far), those at writers slower than the nominal pace first.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -212,6 +212,7 @@
         if !events.is_empty() {
             if !begun {
                 begun = true;
+                tracing::debug!(target: "answer", trace = %job.seat.parts.trace, "streams");
                 shared.tell(In::Hub(Input::First { id: job.id, attempt: job.attempt }));
             }
             until = Instant::now() + SILENT;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,6 +35,11 @@
 const QUEUE: usize = 4096;
 /// New connections are accepted for so long after SIGTERM: the platform's distributor needs up to 0.4 s to notice.
 const STILL_ACCEPTS: Duration = Duration::from_millis(450);
+/// The platform kills a node no sooner after SIGTERM than the longest time a client waits, counted as 3 s where it is
+/// longer, and this; what still runs is cut then. The last of these is left for what is on its way.
+const KILL_COUNTS: Duration = Duration::from_secs(3);
+const KILL_AFTER: Duration = Duration::from_millis(700);
+const KILL_MARGIN: Duration = Duration::from_millis(150);
 /// How often the main thread looks for signals and at what is to be tidied.
 const TICK: Duration = Duration::from_millis(20);
 /// How often idle connections are looked at, and the state is written to the log.
@@ -127,6 +132,7 @@
         letting_go: AtomicUsize::new(0),
         discovery: Mutex::new((start.discovery, 0)),
     });
+    let longest = Duration::from_micros(shared.names.longest_wait);
     let hub = Hub::new(start.settings, start.seed);
     run("owner", clock, events, Owner::new(hub, shared.clone())).map_err(NodeError::System)?;
     let seq = start.known.seq;
@@ -168,6 +174,9 @@
             if !shared.closing.swap(true, Ordering::SeqCst) {
                 stop.stop();
                 shared.guests.dismiss_idle();
+                let all = longest.min(KILL_COUNTS) + KILL_AFTER;
+                let within = all.saturating_sub(at.elapsed() + KILL_MARGIN).as_micros() as u64;
+                shared.tell(In::Hub(Input::Stopping { within }));
                 tracing::info!(target: "node", after_ms = at.elapsed().as_millis() as u64, "accepts no more");
             }
             let busy = shared.open.load(Ordering::SeqCst) > 0
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -102,6 +102,10 @@
     fn handle(&mut self, now: Micros, event: In) -> bool {
         match event {
             In::Open { id, ask, seat } => {
+                tracing::debug!(
+                    target: "taken", trace = %ask.trace, class = ask.class, left_ms = ask.time_left / 1000,
+                    prompt = ask.prompt, session = ?ask.session, again = ask.returned,
+                );
                 self.seats.insert(id, seat);
                 self.hub.handle(now, Input::Arrived { id, ask }, &mut self.commands);
             }
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -31,6 +31,8 @@
     Listed { list: List, restored: bool },
     /// A release was said; `heard`: its last byte was written on a connection that had come up.
     Said { id: ReqId, holder: ServerId, heard: bool },
+    /// The node ends, within this time.
+    Stopping { within: Time },
 }
 
 /// The final answer to a client, other than a stream.
@@ -216,6 +218,7 @@
                 self.events.push_back(Event::Probed { server, outcome, took: 0, load });
             }
             Input::Listed { list, restored } => self.listed(list, restored),
+            Input::Stopping { within } => self.events.push_back(Event::Stopping { within }),
             Input::Said { id, holder, heard } => {
                 if let Some(call) = self.leases.said(id, &holder, heard, now) {
                     self.counts.releases_again += 1;
--- a/src/api.rs
+++ b/src/api.rs
@@ -255,6 +255,10 @@
     Timer {
         name: u64,
     },
+    /// This front ends: nothing new comes, and what still runs after this time is cut.
+    Stopping {
+        within: Time,
+    },
 }
 
 /// One thing to do.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -88,6 +88,9 @@
 /// A failed call for the list is made again after this part of its span; ticks that a send takes to arrive.
 const ASK_AGAIN: u64 = 4;
 const TRAVEL: u64 = 4;
+/// Streams are moved in this last part of the time of a front that ends: before, many end by themselves, and a
+/// neighbour that ended first may not be back.
+const MOVING: f64 = 0.5;
 /// Without a hint, the share of its longest that an answer takes; seconds of a tenant's share in its bucket.
 const ANSWER: f64 = 0.5;
 const QUOTA_SPAN: f64 = 2.0;
@@ -277,6 +280,8 @@
     may_ask: bool,
     armed: bool,
     asked: Option<Time>,
+    /// When the next stream is moved, and when this front ends.
+    stop: Option<(Time, Time)>,
 }
 
 impl Router {
@@ -299,6 +304,7 @@
             writers: BTreeMap::new(),
             armed: false,
             asked: None,
+            stop: None,
         }
     }
 
@@ -316,6 +322,9 @@
                 self.armed = false;
                 self.sweep(now, out);
             }
+            Event::Stopping { within } => {
+                self.stop = Some((now + ((1.0 - MOVING) * within as f64) as Time, now + within));
+            }
             Event::Timer { .. } | Event::Place { .. } => {}
         }
         self.totals(now);
@@ -676,6 +685,7 @@
             self.asked = Some(now + self.set.ask_within / ASK_AGAIN);
             out.push(Action::Subscribe);
         }
+        self.move_streams(now, out);
         let keep = (LET_GO * self.set.let_go_by as f64) as Time;
         let stuck: Vec<ReqId> = self.held().collect();
         for id in stuck {
@@ -693,6 +703,29 @@
         }
     }
 
+    /// Where this front ends, streams that it would cut go on elsewhere before: one after the other over the
+    /// time that is left. Guards against all their clients coming again at once, which no reader can take.
+    fn move_streams(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some((_, end)) = self.stop.filter(|(due, _)| self.set.resume && now >= *due) else { return };
+        let class = |request: &Request| self.set.classes.get(request.ask.class).map_or(0.0, |c| c.tpot_aim);
+        // One that is past its time at the nominal pace is at a slow writer: its end is not known.
+        let ends = |id: &ReqId, request: &Request| {
+            let job = self.views.get(&request.out.as_ref()?.0)?.jobs.get(id)?;
+            let tokens = job.tokens - request.ask.prompt;
+            let at = job.first? + (tokens * NOMINAL * class(request)) as Time;
+            Some(if at < now { Time::MAX } else { at }).filter(|at| *at > end)
+        };
+        let cut = self.requests.iter().filter(|(_, request)| request.streaming && !request.ended);
+        let cut = cut.filter_map(|(id, request)| Some((ends(id, request)?, *id)));
+        let cut: Vec<(Time, ReqId)> = cut.collect();
+        let Some((_, id)) = cut.iter().max() else { return };
+        self.stop = Some((now + end.saturating_sub(now) / cut.len() as Time, end));
+        if let Some(request) = self.requests.get_mut(id) {
+            request.ended = true;
+            out.push(Action::Move { id: *id });
+        }
+    }
+
     // ---- The dispatcher ----
 
     fn held(&self) -> impl Iterator<Item = ReqId> {
