--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -312,7 +312,7 @@
         // Every second try goes to another engine, each time to the next one.
         let other = || {
             let others: Vec<_> = running.iter().filter(|(server, _)| *server != call.holder).collect();
-            let at = (id.0 as usize).wrapping_add(call.tries as usize);
+            let at = (id.0 as usize).wrapping_add(call.tries as usize / 2);
             others.get(at % others.len().max(1)).map(|(_, dial)| *dial)
         };
         let dial = if call.tries.is_multiple_of(2) { own.or_else(other) } else { other().or(own) };
--- a/crates/platform/src/leases.rs
+++ b/crates/platform/src/leases.rs
@@ -17,13 +17,18 @@
 #[derive(Debug)]
 struct Lease {
     trace: Box<str>,
-    holders: Vec<ServerId>,
-    /// Being told to let go: how often it was tried, and since when.
-    letting_go: Option<(u32, Time)>,
+    holders: Vec<Holder>,
     /// An attempt is out: what is held waits for it.
     wanted: bool,
 }
 
+#[derive(Debug)]
+struct Holder {
+    server: ServerId,
+    /// Being told to let go: how often it was tried, and since when.
+    letting_go: Option<(u32, Time)>,
+}
+
 /// What to tell whom.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
@@ -43,11 +48,10 @@
         let lease = self.0.entry(id).or_insert_with(|| Lease {
             trace: trace.into(),
             holders: Vec::new(),
-            letting_go: None,
             wanted: false,
         });
-        if !lease.holders.contains(server) {
-            lease.holders.push(server.clone());
+        if !lease.holders.iter().any(|holder| holder.server == *server) {
+            lease.holders.push(Holder { server: server.clone(), letting_go: None });
         }
     }
 
@@ -55,9 +59,6 @@
     pub fn wanted(&mut self, id: ReqId, wanted: bool) {
         if let Some(lease) = self.0.get_mut(&id) {
             lease.wanted = wanted;
-            if wanted {
-                lease.letting_go = None;
-            }
         }
     }
 
@@ -66,27 +67,37 @@
         self.0.remove(&id);
     }
 
-    /// The module lets go: whom to tell.
+    /// The module lets go: whom to tell that is not being told already.
     pub fn release(&mut self, id: ReqId, now: Time) -> Vec<Call> {
         let Some(lease) = self.0.get_mut(&id) else { return Vec::new() };
-        lease.letting_go = Some((0, now));
-        let call = |holder: &ServerId| Call { trace: lease.trace.clone(), holder: holder.clone(), tries: 0 };
-        lease.holders.iter().map(call).collect()
+        let mut calls = Vec::new();
+        for holder in lease.holders.iter_mut().filter(|holder| holder.letting_go.is_none()) {
+            holder.letting_go = Some((0, now));
+            calls.push(Call { trace: lease.trace.clone(), holder: holder.server.clone(), tries: 0 });
+        }
+        calls
     }
 
     /// A release was said; `heard`: it has reached an engine whole. Gives the next try, if there is one.
-    pub fn said(&mut self, id: ReqId, holder: &ServerId, heard: bool, now: Time) -> Option<Call> {
+    pub fn said(&mut self, id: ReqId, server: &ServerId, heard: bool, now: Time) -> Option<Call> {
         let lease = self.0.get_mut(&id)?;
-        let (tries, since) = lease.letting_go.as_mut()?;
+        let wanted = lease.wanted;
+        let holder = lease.holders.iter_mut().find(|holder| holder.server == *server)?;
+        let (tries, since) = holder.letting_go.as_mut()?;
         *tries += 1;
         if heard || *tries >= TRIES || now >= *since + LIFE {
-            lease.holders.retain(|known| known != holder);
+            lease.holders.retain(|holder| holder.server != *server);
             if lease.holders.is_empty() {
                 self.0.remove(&id);
             }
             return None;
         }
-        Some(Call { trace: lease.trace.clone(), holder: holder.clone(), tries: *tries })
+        if wanted {
+            // Its next release tells it again.
+            holder.letting_go = None;
+            return None;
+        }
+        Some(Call { trace: lease.trace.clone(), holder: server.clone(), tries: *tries })
     }
 
     /// Requests for which something may be held.
@@ -100,6 +111,7 @@
 
     /// Whether all that is left waits for an attempt or has not been let go of yet.
     pub fn letting_go(&self) -> usize {
-        self.0.values().filter(|lease| lease.letting_go.is_some()).count()
+        let told = |lease: &&Lease| lease.holders.iter().any(|holder| holder.letting_go.is_some());
+        self.0.values().filter(told).count()
     }
 }
--- /dev/null
+++ b/crates/platform/tests/codecs.rs
@@ -0,0 +1,295 @@
+//! What is read from clients, engines and discovery, without a socket.
+
+use elderstage::settings::Names;
+use elderstage::{ListMode, Listed, Outcome, ReportField};
+use elderstage_platform::ask::{self, Ask, MOST_BODY, Refusal, Wanted};
+use elderstage_platform::list::Directory;
+use elderstage_platform::reply::{self, Cut, Reached, Verdict};
+use elderstage_platform::report;
+use elderstage_platform::start::Start;
+use elderstage_platform::stream::{Spoilt, Stream};
+use elderstage_protocol::http::{self, HttpError, Limits, Request, Response};
+use proptest::prelude::*;
+
+fn names() -> Names {
+    let words = |list: &[&str]| list.iter().map(|word| (*word).to_owned()).collect();
+    Names {
+        zones: words(&["east", "west"]),
+        kinds: words(&["reads", "writes"]),
+        classes: words(&["plain", "once"]),
+        tenants: Vec::new(),
+        idle_close: Some(15_000_000),
+        longest_wait: 12_000_000,
+    }
+}
+
+fn head(text: &str) -> Request {
+    let text = text.replace('\n', "\r\n") + "\r\n\r\n";
+    http::parse_request(text.as_bytes(), Limits::default()).unwrap().unwrap().0
+}
+
+const GOOD: &str = "POST /v1/chat/completions HTTP/1.1\nHost: backend.local\nX-Trace-Id: 9b1f03aa\nX-Qos: once\n\
+                    X-Object: talk-1\nX-Expires-In-Ms: 4800\nX-Size-Hint: 90000\n\
+                    X-Props: prefix=opening-1,prompt_len=5120,prefix_len=2048,max_out=800\nContent-Length: 2";
+
+fn changed(from: &str, to: &str) -> Result<Ask, Refusal> {
+    assert!(GOOD.contains(from));
+    Ask::read(&head(&GOOD.replace(from, to)), 2, &names())
+}
+
+#[test]
+fn a_request_becomes_what_the_module_is_told() {
+    let head = head(GOOD);
+    assert_eq!(ask::wanted(&head), Ok(Wanted::Chat));
+    let ask = Ask::read(&head, 2, &names()).unwrap();
+    assert_eq!((&*ask.trace, ask.class, ask.time_left, ask.hint), ("9b1f03aa", 1, 4_800_000, 90_000));
+    assert_eq!((ask.prompt, ask.shared, ask.max_out), (5120.0, 2048.0, 800.0));
+    assert_eq!(ask.session.unwrap().0.as_ref(), "talk-1");
+    assert_eq!(ask.prefix.unwrap().0.as_ref(), "opening-1");
+    assert!(!ask.repeat && !ask.returned);
+    assert!(changed("X-Size-Hint: 90000", "X-Second-Try: again").unwrap().returned);
+    assert!(changed("X-Size-Hint: 90000", "X-Second-Try: 1").unwrap().repeat);
+    // Where clients tell no lengths, the body's own is taken: four characters a token.
+    let bare = GOOD.split("\nX-Props").next().unwrap();
+    assert_eq!(Ask::read(&self::head(bare), 400, &names()).unwrap().prompt, 100.0);
+}
+
+#[test]
+fn what_cannot_be_read_is_a_clients_error_and_says_which_field() {
+    for (from, to, why) in [
+        ("X-Trace-Id: 9b1f03aa\n", "", Refusal::Missing("x-trace-id")),
+        ("9b1f03aa", "", Refusal::Missing("x-trace-id")),
+        ("9b1f03aa", "a/../b", Refusal::Unreadable("x-trace-id")),
+        ("X-Qos: once", "X-Trace-Id: other", Refusal::Doubled("x-trace-id")),
+        ("X-Qos: once\n", "", Refusal::Missing("x-qos")),
+        ("once", "twice", Refusal::Class),
+        ("X-Expires-In-Ms: 4800\n", "", Refusal::Missing("x-expires-in-ms")),
+        ("4800", "soon", Refusal::Unreadable("x-expires-in-ms")),
+        ("4800", "-5", Refusal::Unreadable("x-expires-in-ms")),
+        ("4800", "99999999999999999999999", Refusal::Unreadable("x-expires-in-ms")),
+        ("90000", "1e9", Refusal::Unreadable("x-size-hint")),
+        ("prompt_len=5120", "prompt_len=many", Refusal::Unreadable("x-props")),
+        ("prompt_len=5120", "prompt_len", Refusal::Unreadable("x-props")),
+    ] {
+        let refusal = changed(from, to).unwrap_err();
+        assert_eq!((refusal.status(), &refusal), (400, &why), "{from:?} -> {to:?}");
+    }
+    // A deadline beyond what any client waits is held to that.
+    assert_eq!(changed("4800", "99999999999").unwrap().time_left, 12_000_000);
+}
+
+#[test]
+fn a_body_is_refused_by_its_head() {
+    let of = |from: &str, to: &str| ask::wanted(&head(&GOOD.replace(from, to)));
+    assert_eq!(
+        of("Content-Length: 2", &format!("Content-Length: {}", MOST_BODY + 1)),
+        Err(Refusal::TooLarge)
+    );
+    assert_eq!(of("Content-Length: 2", &format!("Content-Length: {MOST_BODY}")), Ok(Wanted::Chat));
+    let doubled = Err(Refusal::Doubled("content-length"));
+    assert_eq!(of("Content-Length: 2", "Content-Length: 2\nContent-Length: 2"), doubled);
+    assert_eq!(of("Content-Length: 2", "Content-Length: 2, 2"), doubled);
+    assert_eq!(of("POST", "PUT"), Err(Refusal::Method("POST")));
+    assert_eq!(of("/v1/chat/completions", "/v1/other"), Err(Refusal::Path));
+    let bad = |field: &str| {
+        let text = GOOD.replace("Content-Length: 2", field).replace('\n', "\r\n") + "\r\n\r\n";
+        http::parse_request(text.as_bytes(), Limits::default()).unwrap_err()
+    };
+    assert_eq!(bad("Content-Length: -2"), HttpError::Length);
+    assert_eq!(bad("Content-Length: 18446744073709551616"), HttpError::Length);
+    assert_eq!(bad("Content-Length: 2\nTransfer-Encoding: chunked"), HttpError::Ambiguous);
+    assert!(ask::is_object(b" {\"a\":[1]}") && !ask::is_object(b"[1]") && !ask::is_object(b"{\"a\":"));
+}
+
+fn answer(text: &str) -> Response {
+    let text = text.replace('\n', "\r\n") + "\r\n\r\n";
+    http::parse_response(text.as_bytes(), Limits::default()).unwrap().unwrap().0
+}
+
+#[test]
+fn each_end_of_an_attempt_proves_what_the_protocol_says() {
+    let verdict = |text: &str| reply::verdict(&answer(text));
+    assert_eq!(verdict("HTTP/1.1 200 OK\nTransfer-Encoding: chunked"), Verdict::Stream);
+    assert_eq!(verdict("HTTP/1.1 202 Accepted\nContent-Length: 20"), Verdict::Read);
+    let full = Verdict::Ended(Outcome::Full, 0);
+    assert_eq!(verdict("HTTP/1.1 503 Busy\nX-Never-Ran: 1\nContent-Length: 0"), full);
+    assert_eq!(verdict("HTTP/1.1 504 Over\nX-Never-Ran: 1\nContent-Length: 0"), full);
+    assert_eq!(
+        verdict("HTTP/1.1 410 Gone\nX-Never-Ran: 1\nContent-Length: 0"),
+        Verdict::Ended(Outcome::Full, 1)
+    );
+    // Without the proof it may have run, whatever the status.
+    for status in ["500 Error", "503 Busy", "504 Over", "410 Gone", "429 Many", "400 Bad", "204 Nothing"] {
+        let text = format!("HTTP/1.1 {status}\nX-Never-Ran: 0\nContent-Length: 0");
+        assert_eq!(verdict(&text), Verdict::Ended(Outcome::Error, 0), "{status}");
+    }
+    assert_eq!(reply::without_answer(Reached::NotWhole, Cut::Broken), Outcome::NoConnection);
+    assert_eq!(reply::without_answer(Reached::NotWhole, Cut::TimedOut), Outcome::NoConnection);
+    assert_eq!(reply::without_answer(Reached::NotWhole, Cut::Cancelled), Outcome::NotSent);
+    assert_eq!(reply::without_answer(Reached::Whole, Cut::Broken), Outcome::Broken);
+    assert_eq!(reply::without_answer(Reached::Whole, Cut::TimedOut), Outcome::TimedOut);
+    assert_eq!(reply::without_answer(Reached::Whole, Cut::Cancelled), Outcome::Cancelled);
+    assert_eq!((reply::cached(b"{\"cached_tokens\":4096}"), reply::cached(b"what")), (4096, 0));
+}
+
+const EVENTS: [&str; 3] = [
+    "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n",
+    "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":64}}}\n\n",
+    "data: [DONE]\n\n",
+];
+
+fn chunked(parts: &[&str]) -> Vec<u8> {
+    let mut out = Vec::new();
+    parts.iter().for_each(|part| http::write_chunk(part.as_bytes(), &mut out));
+    out.extend_from_slice(http::LAST_CHUNK);
+    out
+}
+
+proptest! {
+    /// However the bytes are split, the events come whole, unchanged and once, and what follows is not the stream's.
+    #[test]
+    fn a_stream_is_passed_on_in_any_split(cuts in prop::collection::vec(1usize..40, 1..40)) {
+        let comment = ": Endpoint-Load-Metrics: TEXT util=0.5\n\n";
+        let mut bytes = chunked(&[EVENTS[0], comment, EVENTS[1], EVENTS[2]]);
+        bytes.extend_from_slice(b"HTTP/1.1 200 OK\r\n");
+        let (mut stream, mut out, mut at, mut taken) = (Stream::new(), Vec::new(), 0, 0);
+        for cut in cuts.iter().cycle() {
+            let end = (at + cut).min(bytes.len());
+            taken += stream.push(&bytes[at..end], &mut out).unwrap();
+            at = end;
+            if at == bytes.len() {
+                break;
+            }
+        }
+        prop_assert_eq!(String::from_utf8(out).unwrap(), EVENTS.concat());
+        prop_assert_eq!(taken, bytes.len() - b"HTTP/1.1 200 OK\r\n".len());
+        prop_assert!(stream.whole());
+        let told = stream.told();
+        prop_assert_eq!((told.cached, told.report.is_some()), (64, true));
+    }
+
+    /// No bytes from an engine, a client or discovery make a codec panic.
+    #[test]
+    fn noise_is_read_without_a_panic(noise in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = Stream::new().push(&noise, &mut Vec::new());
+        let _ = Directory::parse(&noise, &names());
+        let text = String::from_utf8_lossy(&noise);
+        let _ = report::parse(&text, &[ReportField::Queue]);
+        let _ = Start::parse(&text);
+        let _ = reply::cached(&noise);
+    }
+}
+
+#[test]
+fn nothing_of_a_chunk_that_does_not_fit_is_passed_on() {
+    for (bad, why) in [
+        ("xyz\r\ndata: {}\n\n\r\n", "no size"),
+        ("5\r\ndata: {}\n\n\r\n", "too short a size"),
+        ("12\r\ndata: {}\n\n\r\n8\r\ndata: 1\n\n\r\n0\r\n\r\n", "too long a size"),
+        ("c0000000\r\nxxxx", "3 GB"),
+    ] {
+        let mut bytes = chunked(&[EVENTS[0]]);
+        bytes.truncate(bytes.len() - http::LAST_CHUNK.len());
+        let (mut stream, mut out) = (Stream::new(), Vec::new());
+        assert!(stream.push(&bytes, &mut out).is_ok());
+        let spoilt = stream.push(bad.as_bytes(), &mut out);
+        assert!(matches!(spoilt, Err(Spoilt::Http(HttpError::Chunk))), "{why}: {spoilt:?}");
+        assert_eq!(String::from_utf8(out).unwrap(), EVENTS[0], "{why}");
+    }
+}
+
+#[test]
+fn a_stream_without_its_end_is_not_whole() {
+    let whole = |parts: &[&str]| {
+        let mut stream = Stream::new();
+        let _ = stream.push(&chunked(parts), &mut Vec::new());
+        (stream.done(), stream.whole())
+    };
+    assert_eq!(whole(&EVENTS), (true, true));
+    assert_eq!(whole(&EVENTS[..2]), (true, false), "no mark of the end");
+    assert_eq!(whole(&[EVENTS[0], EVENTS[2], "data: half"]), (true, false), "half an event");
+    let mut stream = Stream::new();
+    let noise = stream.push(&chunked(&["<html>no events</html>\n\n"]), &mut Vec::new());
+    assert_eq!(noise, Err(Spoilt::NoEvent));
+}
+
+#[test]
+fn a_report_is_read_whole_or_not_at_all() {
+    let fields = [ReportField::LatencyMs, ReportField::MemoryShare, ReportField::PendingThousands];
+    let told = Some(vec![12.5, 0.25, 3.0]);
+    assert_eq!(report::parse("TEXT lat_ms=12.5, x0=0.25, x1=3", &fields), told);
+    assert_eq!(report::parse("Endpoint-Load-Metrics: TEXT x1=3, x0=0.25, latency_ms=12.5", &fields), told);
+    assert_eq!(
+        report::parse("JSON {\"named_metrics\":{\"x0\":0.25,\"x1\":3},\"lat_ms\":12.5}", &fields),
+        told
+    );
+    for bad in [
+        "",
+        "TEXT",
+        "TEXT lat_ms=12.5, x0=0.25",
+        "TEXT lat_ms=?, x0=0.25, x1=3",
+        "TEXT lat_ms=12.5 x0=0.25",
+        "TEXT lat_ms=nan, x0=0.25, x1=3",
+        "TEXT lat_ms=-1, x0=0.25, x1=3",
+        "JSON {\"lat_ms\":",
+        "\u{0}\u{16}",
+    ] {
+        assert_eq!(report::parse(bad, &fields), None, "{bad:?}");
+    }
+}
+
+#[test]
+fn names_map_to_positions_and_a_new_whole_list_removes_what_it_lacks() {
+    let mut directory = Directory::default();
+    let list = |text: &str| Directory::parse(text.as_bytes(), &names());
+    let whole = list(
+        r#"{"seq":4,"whole":true,"hosts":[
+        {"host":"a","dial":"127.0.0.1:1","site":"west","class":"writes","block":3,"health":"SERVING","share":1.0,"born_ms":7},
+        {"host":"b","dial":"127.0.0.1:2","site":"east","class":"reads","block":1,"health":"DRAINING"}]}"#,
+    );
+    let (mode, entries) = directory.take(whole.unwrap(), false);
+    assert_eq!((mode, entries.len()), (ListMode::Full, 2));
+    let a = &entries[0];
+    assert_eq!((a.zone, a.kind, a.cell, a.ready_at, a.listed), (1, 1, 3, 7_000, Listed::Running));
+    assert_eq!((entries[1].kind, entries[1].listed), (0, Listed::Draining));
+    let gone = list(r#"{"seq":5,"whole":false,"hosts":[{"host":"a","health":"DELETED"}]}"#).unwrap();
+    let (mode, entries) = directory.take(gone, false);
+    assert_eq!((mode, entries[0].listed), (ListMode::Changes, Listed::Gone));
+    assert_eq!(directory.len(), 1, "a server that has left is forgotten");
+    let other =
+        list(r#"{"seq":6,"whole":true,"hosts":[{"host":"c","dial":"127.0.0.1:3","health":"SERVING"}]}"#);
+    directory.take(other.unwrap(), false);
+    assert_eq!((directory.len(), directory.running().len()), (1, 1));
+    for bad in [
+        "{",
+        "[]x",
+        r#"{"hosts":[{"dial":"127.0.0.1:1","health":"SERVING"}]}"#,
+        r#"{"hosts":[{"host":"a","dial":"nowhere","health":"SERVING"}]}"#,
+        r#"{"hosts":[{"host":"a","dial":"127.0.0.1:1","health":"FINE"}]}"#,
+    ] {
+        assert!(list(bad).is_err(), "{bad}");
+    }
+}
+
+#[test]
+fn a_bad_configuration_is_named_by_what_is_wrong() {
+    let good = r#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+        "limits":{"cores":0.5,"memory_mb":64,"sockets":512},"settings":{"services":[{"name":"plain"}]}}"#;
+    let start = Start::parse(good).unwrap();
+    assert_eq!((start.seed, start.allowed.descriptors), (0x8c1f_30d2_7a5b_e964, 512));
+    for (from, to, says) in [
+        ("\"listen\":\"127.0.0.1:1\",", "", "listen: is missing"),
+        ("127.0.0.1:2", "there", "discovery: \"there\" is not an address and port"),
+        ("8c1f30d27a5be964", "xyz", "seed: \"xyz\" is not up to 16 hexadecimal digits"),
+        ("512", "-1", "sockets: -1 is not a number above 0"),
+        (
+            "\"settings\":{",
+            "\"settings\":{\"limits\":{\"most-tries\":-1},",
+            "settings: limits.most-tries: -1",
+        ),
+        ("}]}}", "}]}", "bad JSON"),
+    ] {
+        let error = Start::parse(&good.replace(from, to)).unwrap_err().to_string();
+        assert!(error.contains(says), "{error}");
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/hub.rs
@@ -0,0 +1,246 @@
+//! The hub with the module in it, driven by hand. Times are microseconds.
+
+use std::net::SocketAddr;
+
+use elderstage::{Entry, Listed, Outcome, ReqId, ServerId, Settings, Time, example_settings};
+use elderstage_platform::ask::Ask;
+use elderstage_platform::hub::{Command, Hub, Input, Last};
+use elderstage_platform::list::{Host, List};
+
+const MS: Time = 1_000;
+
+struct World {
+    hub: Hub,
+    now: Time,
+}
+
+fn addr(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn host(name: &str, kind: usize, port: u16, listed: Listed) -> Host {
+    let server = ServerId(name.into());
+    let entry = Entry { server, listed, kind, zone: 0, cell: 0, weight: 1.0, ready_at: 0 };
+    Host { entry, dial: Some(addr(port)) }
+}
+
+fn ask(trace: &str) -> Ask {
+    Ask {
+        trace: trace.into(),
+        class: 0,
+        tenant: 0,
+        session: None,
+        prefix: None,
+        time_left: 4_000 * MS,
+        hint: 0,
+        prompt: 1_000.0,
+        shared: 0.0,
+        max_out: 100.0,
+        repeat: false,
+        returned: false,
+    }
+}
+
+impl World {
+    fn with(settings: Settings) -> World {
+        let mut world = World { hub: Hub::new(settings, 7), now: 1_000_000 * MS };
+        let hosts = vec![
+            host("reader", 0, 1, Listed::Running),
+            host("spare", 0, 2, Listed::Running),
+            host("writer", 1, 3, Listed::Running),
+        ];
+        world.tell(Input::Listed { list: List { seq: 1, whole: true, hosts }, restored: true });
+        world
+    }
+
+    fn tell(&mut self, input: Input) -> Vec<Command> {
+        self.now += MS;
+        let mut out = Vec::new();
+        self.hub.handle(self.now, input, &mut out);
+        out.retain(|command| !matches!(command, Command::Probe { .. }));
+        out
+    }
+
+    fn arrive(&mut self, id: u32, trace: &str) -> Vec<Command> {
+        self.tell(Input::Arrived { id: ReqId(id), ask: ask(trace) })
+    }
+
+    fn end(&mut self, id: u32, attempt: u32, outcome: Outcome) -> Vec<Command> {
+        self.tell(Input::Ended { id: ReqId(id), attempt, outcome, note: 0, report: None })
+    }
+
+    /// Lets time pass, with the timers that are due.
+    fn pass(&mut self, time: Time) -> Vec<Command> {
+        let (end, mut out) = (self.now + time, Vec::new());
+        while let Some(at) = self.hub.next_timer().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.hub.wake(self.now, &mut out);
+        }
+        self.now = end;
+        out
+    }
+}
+
+fn sent(commands: &[Command]) -> Option<(u32, String)> {
+    commands.iter().find_map(|command| match command {
+        Command::Send { attempt, server, .. } => Some((*attempt, server.0.to_string())),
+        _ => None,
+    })
+}
+
+fn released(commands: &[Command]) -> Vec<SocketAddr> {
+    let dial = |command: &Command| match command {
+        Command::Release { dial, .. } => Some(*dial),
+        _ => None,
+    };
+    commands.iter().filter_map(dial).collect()
+}
+
+fn answer(commands: &[Command]) -> Option<Last> {
+    commands.iter().find_map(|command| match command {
+        Command::Answer { last, .. } => Some(*last),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_request_is_read_written_and_forgotten() {
+    let mut world = World::with(example_settings());
+    let (attempt, reader) = sent(&world.arrive(1, "a")).unwrap();
+    assert!(reader == "reader" || reader == "spare");
+    let commands = world.end(1, attempt, Outcome::Read);
+    assert_eq!(sent(&commands), Some((1, "writer".into())));
+    world.tell(Input::First { id: ReqId(1), attempt: 1 });
+    assert_eq!(world.hub.held(), (1, 0), "a stream holds nothing at readers");
+    let commands = world.end(1, 1, Outcome::Served);
+    assert!(commands.contains(&Command::Forget { id: ReqId(1) }), "{commands:?}");
+    assert_eq!((world.hub.held(), world.hub.in_flight().len()), ((0, 0), 0));
+    assert_eq!(world.hub.counts().served, 1);
+}
+
+/// Another client's open request keeps its id and is not disturbed.
+#[test]
+fn an_id_that_is_open_is_not_taken_twice() {
+    let mut world = World::with(example_settings());
+    let (attempt, _) = sent(&world.arrive(1, "a")).unwrap();
+    let commands = world.arrive(2, "a");
+    assert_eq!(answer(&commands), Some(Last::Open));
+    assert_eq!(sent(&commands), None);
+    assert!(sent(&world.end(1, attempt, Outcome::Read)).is_some(), "the first goes on");
+    world.tell(Input::First { id: ReqId(1), attempt: 1 });
+    world.end(1, 1, Outcome::Served);
+    assert!(sent(&world.arrive(3, "a")).is_some(), "once it has ended the id is free");
+}
+
+/// A client that leaves during a read: its attempt is called off, and what it may have left is let go.
+#[test]
+fn what_a_left_read_may_hold_is_let_go() {
+    let mut world = World::with(example_settings());
+    let (attempt, reader) = sent(&world.arrive(1, "a")).unwrap();
+    let commands = world.tell(Input::Gone { id: ReqId(1) });
+    assert!(commands.contains(&Command::Cancel { id: ReqId(1), attempt }), "{commands:?}");
+    let commands = world.end(1, attempt, Outcome::Cancelled);
+    let own = addr(if reader == "reader" { 1 } else { 2 });
+    assert_eq!(released(&commands), [own]);
+    assert_eq!(answer(&commands), None, "nobody is left to be answered");
+    assert_eq!(world.hub.held(), (0, 1), "until it is heard");
+    world.tell(Input::Said { id: ReqId(1), holder: ServerId(reader.as_str().into()), heard: true });
+    assert_eq!(world.hub.held(), (0, 0));
+}
+
+/// A read that broke or timed out may have ended well: its state must not wait for the next reader to be free.
+#[test]
+fn a_read_that_ends_unclear_is_let_go_at_once() {
+    for outcome in [Outcome::Broken, Outcome::TimedOut, Outcome::Error] {
+        let mut world = World::with(example_settings());
+        let (attempt, reader) = sent(&world.arrive(1, "a")).unwrap();
+        let commands = world.end(1, attempt, outcome);
+        assert_eq!(released(&commands), [addr(if reader == "reader" { 1 } else { 2 })], "{outcome:?}");
+    }
+    for outcome in [Outcome::NoConnection, Outcome::Full] {
+        let mut world = World::with(example_settings());
+        let (attempt, _) = sent(&world.arrive(1, "a")).unwrap();
+        assert_eq!(released(&world.end(1, attempt, outcome)), [], "{outcome:?}: nothing can be held");
+    }
+}
+
+/// The time that the rule gives goes on while connections do not come up: each next try goes elsewhere.
+#[test]
+fn a_release_is_said_until_an_engine_has_heard_it() {
+    let mut world = World::with(example_settings());
+    let (attempt, reader) = sent(&world.arrive(1, "a")).unwrap();
+    world.tell(Input::Gone { id: ReqId(1) });
+    let mut tried = released(&world.end(1, attempt, Outcome::Cancelled));
+    let holder = ServerId(reader.as_str().into());
+    for _ in 0..3 {
+        let commands = world.tell(Input::Said { id: ReqId(1), holder: holder.clone(), heard: false });
+        tried.extend(released(&commands));
+    }
+    let own = addr(if reader == "reader" { 1 } else { 2 });
+    assert_eq!((tried.len(), tried[0], tried[2]), (4, own, own));
+    assert!(tried[1] != own && tried[3] != own && tried[1] != tried[3], "{tried:?}");
+    world.tell(Input::Said { id: ReqId(1), holder: holder.clone(), heard: true });
+    assert_eq!(world.hub.held(), (0, 0));
+    // With nobody left who hears, it is given up after a bounded number of tries.
+    let (attempt, reader) = sent(&world.arrive(2, "b")).unwrap();
+    world.tell(Input::Gone { id: ReqId(2) });
+    world.end(2, attempt, Outcome::Cancelled);
+    let holder = ServerId(reader.as_str().into());
+    for _ in 0..100 {
+        world.tell(Input::Said { id: ReqId(2), holder: holder.clone(), heard: false });
+    }
+    assert_eq!(world.hub.held(), (0, 0));
+    assert!(world.hub.counts().releases_again < 100);
+}
+
+/// An attempt at a server that has just left the list never ran.
+#[test]
+fn a_server_without_an_address_is_no_connection() {
+    let mut world = World::with(example_settings());
+    let (attempt, reader) = sent(&world.arrive(1, "a")).unwrap();
+    let gone = vec![host("writer", 1, 3, Listed::Gone)];
+    world.tell(Input::Listed { list: List { seq: 2, whole: false, hosts: gone }, restored: false });
+    let commands = world.end(1, attempt, Outcome::Read);
+    assert_eq!(sent(&commands), None);
+    let all = world.pass(3_000 * MS);
+    assert!(matches!(answer(&all), Some(Last::Refused { .. })), "{reader}: {all:?}");
+    assert!(!released(&all).is_empty(), "the state that nobody takes is let go");
+}
+
+/// Given up is answered at once and with advice, and long before the client's time is up.
+#[test]
+fn what_nobody_can_take_is_refused_early() {
+    let mut world = World::with(example_settings());
+    let gone = ["reader", "spare", "writer"].map(|name| host(name, 0, 1, Listed::Gone)).into();
+    world.tell(Input::Listed { list: List { seq: 2, whole: false, hosts: gone }, restored: false });
+    world.arrive(1, "a");
+    let commands = world.pass(1_000 * MS);
+    let Some(Last::Refused { retry_after }) = answer(&commands) else { panic!("{commands:?}") };
+    assert!((1..=500 * MS).contains(&retry_after));
+    assert_eq!(world.hub.held(), (0, 0));
+}
+
+/// Nothing is kept of requests, servers and timers that are over.
+#[test]
+fn nothing_grows_over_a_long_day() {
+    let mut world = World::with(example_settings());
+    for n in 1..3_000u32 {
+        let trace = format!("t{n}");
+        let (attempt, _) = sent(&world.arrive(n, &trace)).unwrap();
+        assert!(sent(&world.end(n, attempt, Outcome::Read)).is_some());
+        world.tell(Input::First { id: ReqId(n), attempt: attempt + 1 });
+        world.end(n, attempt + 1, Outcome::Served);
+        if n % 10 == 0 {
+            let old = host(&format!("w{}", n - 10), 1, 9, Listed::Gone);
+            let new = host(&format!("w{n}"), 1, 9, Listed::Running);
+            world.tell(Input::Listed {
+                list: List { seq: n.into(), whole: false, hosts: vec![old, new] },
+                restored: false,
+            });
+        }
+    }
+    world.pass(5_000 * MS);
+    assert_eq!(world.hub.held(), (0, 0));
+    assert_eq!(world.hub.servers(), 4);
+    assert_eq!(world.hub.next_timer(), None, "no timer is left when nothing is open");
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -658,6 +658,10 @@
                 }
             }
         }
+        // A read may have ended well as its connection broke: guards against its state waiting there unseen.
+        if !whole && !outcome.never_ran() {
+            out.push(Action::Release { id });
+        }
         let closing = self.closing(now, id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         if whole && !outcome.never_ran() && request.ran.is_none() {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -924,3 +924,53 @@
         assert_eq!(taken(session, false), taken(session, true), "session {session}");
     }
 }
+
+/// A front that ends: what it would cut goes on elsewhere, one stream after the other, and what ends by itself is left
+/// alone.
+#[test]
+fn a_front_that_ends_moves_the_streams_it_would_cut() {
+    for resume in [true, false] {
+        let mut bench = Bench::with(Settings { resume, ..example_settings() }, &["r1", "w1", "w2"]);
+        for id in 1..=8 {
+            // Tokens times the aim of 60 ms: some 6 s and some 300 ms at the nominal pace.
+            let hint = if id <= 6 { 10_000 * MS } else { 500 * MS };
+            let reader =
+                sent_to(&bench.pass(Event::Arrived(Arrival { hint, ..arrival(id, 800.0) }))).unwrap();
+            bench.now += 10 * MS;
+            let writer = sent_to(&bench.end(id, 0, &reader, Outcome::Read, 0)).unwrap();
+            bench.first(id, 1, &writer);
+        }
+        let within = 2_000 * MS;
+        assert_eq!(bench.pass(Event::Stopping { within }), [], "not all at once");
+        let mut moved = Vec::new();
+        for step in 1..=100 {
+            bench.now += within / 100;
+            let actions = bench.pass(Event::Timer { name: 1 });
+            assert!(actions.len() <= 1, "never two at once: {actions:?}");
+            moved.extend(actions);
+            // The short answers come to their end.
+            if step == 15 {
+                for (id, at) in [(7, "w1"), (8, "w1"), (7, "w2"), (8, "w2")] {
+                    bench.end(id, 1, at, Outcome::Served, 0);
+                }
+            }
+        }
+        let mut ids: Vec<u32> = moved
+            .iter()
+            .map(|action| if let Action::Move { id } = action { id.0 } else { panic!("{action:?}") })
+            .collect();
+        ids.sort_unstable();
+        assert_eq!(ids, if resume { vec![1, 2, 3, 4, 5, 6] } else { Vec::new() }, "each once");
+    }
+}
+
+/// A read that ends without a word may have left its state at the reader: it is let go before anything else.
+#[test]
+fn an_unclear_read_is_let_go() {
+    for outcome in [Outcome::Broken, Outcome::TimedOut, Outcome::Cancelled, Outcome::Error] {
+        let mut bench = Bench::new(&["r1", "r2", "w1"]);
+        let reader = sent_to(&bench.arrive(1, 800.0)).unwrap();
+        let actions = bench.end(1, 0, &reader, outcome, 0);
+        assert_eq!(actions.first(), Some(&Action::Release { id: ReqId(1) }), "{outcome:?}");
+    }
+}
