Kept connections are not trusted after a reset; one broken connection suspends no server

Ruled out by a log of each cut with the connection's idle time: our own idle limit (any age breaks), a missed close (checked before each use), the time from head to first event (3 us). The module: the first broken connection since the last answer is no strike; a server that has died refuses the next at once.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -42,6 +42,8 @@
     pub server: ServerId,
     pub dial: SocketAddr,
     pub timeout: Duration,
+    /// It may be sent again, whatever comes of it.
+    pub harmless: bool,
     pub seat: Arc<Seat>,
 }
 
@@ -84,27 +86,46 @@
     if left().is_zero() {
         return ended(Reached::NotWhole, Cut::TimedOut);
     }
-    let mut link = match shared.pool.take(job.dial, shared.connect.min(left())) {
+    let mut link = match shared.pool.take(job.dial, shared.connect.min(left()), job.harmless) {
         Ok(link) => link,
-        Err(_) => return ended(Reached::NotWhole, Cut::Broken),
+        Err(error) => {
+            tracing::debug!(target: "link", what = "connect", %error, server = %job.server.0, "cut");
+            return ended(Reached::NotWhole, Cut::Broken);
+        }
     };
     let waker = link.conn().waker();
     if !job.seat.begin(job.attempt, waker) || job.seat.is_closed() {
         link.keep();
         return ended(Reached::NotWhole, Cut::Cancelled);
     }
+    let idle = link.idle;
+    let trace = |what: &str, cut: Cut| {
+        tracing::debug!(target: "link", what, ?cut, ?idle, server = %job.server.0, "cut");
+    };
     if let Err(cut) = write(&mut link, job, left()) {
+        trace("write", cut);
+        link.told(cut == Cut::Broken);
         drop(link);
         return ended(Reached::NotWhole, cut);
     }
     let end = answer(shared, &mut link, job, until);
+    match &end {
+        Ok(_) => link.told(false),
+        Err(cut) => {
+            let silent = !link.conn().has_pending();
+            link.told(*cut == Cut::Broken && silent);
+        }
+    }
     match end {
         Ok((end, true)) => {
             link.keep();
             end
         }
         Ok((end, false)) => end,
-        Err(cut) => ended(Reached::Whole, cut),
+        Err(cut) => {
+            trace(if link.conn().has_pending() { "half a head" } else { "answer" }, cut);
+            ended(Reached::Whole, cut)
+        }
     }
 }
 
@@ -204,7 +225,7 @@
     told: Option<String>,
     mut until: Instant,
 ) -> Result<(End, bool), Cut> {
-    let (mut stream, mut begun) = (Stream::new(), false);
+    let (mut stream, mut begun, opened) = (Stream::new(), false, Instant::now());
     let broken = |begun| End { outcome: Outcome::Broken, note: 0, report: None, begun };
     loop {
         let mut events = Vec::new();
@@ -212,7 +233,10 @@
         if !events.is_empty() {
             if !begun {
                 begun = true;
-                tracing::debug!(target: "answer", trace = %job.seat.parts.trace, "streams");
+                tracing::debug!(
+                    target: "answer", after_head_us = opened.elapsed().as_micros() as u64,
+                    trace = %job.seat.parts.trace, "streams",
+                );
                 shared.tell(In::Hub(Input::First { id: job.id, attempt: job.attempt }));
             }
             until = Instant::now() + SILENT;
@@ -257,15 +281,17 @@
 /// One small exchange without a body.
 fn small(shared: &Shared, dial: SocketAddr, text: &str, time: Duration) -> Result<(Response, Vec<u8>), Cut> {
     let until = Instant::now() + time;
-    let mut link = shared.pool.take(dial, time.min(shared.connect)).map_err(|error| match error {
+    let mut link = shared.pool.take(dial, time.min(shared.connect), true).map_err(|error| match error {
         NetError::TimedOut => Cut::TimedOut,
         _ => Cut::Broken,
     })?;
     let conn = link.conn();
     conn.limits = HEAD;
     conn.set_write_timeout(Some(time));
-    conn.write(format!("{text}Host: {dial}\r\n\r\n").as_bytes()).map_err(|_| Cut::Broken)?;
-    let head = head(&mut link, None, until)?;
+    let written = conn.write(format!("{text}Host: {dial}\r\n\r\n").as_bytes()).map_err(|_| Cut::Broken);
+    let head = written.and_then(|()| head(&mut link, None, until));
+    link.told(head.as_ref().is_err_and(|cut| *cut == Cut::Broken));
+    let head = head?;
     let (body, good) = body(&mut link, &head, until);
     if good {
         link.keep();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -52,10 +52,10 @@
 
     fn command(&mut self, command: Command) {
         match command {
-            Command::Send { id, attempt, server, dial, timeout } => {
+            Command::Send { id, attempt, server, dial, timeout, harmless } => {
                 let Some(seat) = self.seats.get(&id).cloned() else { return };
                 let timeout = Duration::from_micros(timeout);
-                engine::attempt(&self.shared, Attempt { id, attempt, server, dial, timeout, seat });
+                engine::attempt(&self.shared, Attempt { id, attempt, server, dial, timeout, harmless, seat });
             }
             Command::Cancel { id, attempt } => {
                 if let Some(seat) = self.seats.get(&id) {
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use elderstage_net::{Conn, NetError, Place, open};
+use elderstage_platform::kept::Kept;
 
 /// Share of the engines' idle limit after which a connection is not used again.
 const IDLE_SHARE: u32 = 2;
@@ -27,6 +28,7 @@
     open: AtomicUsize,
     idle_for: Duration,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    kept: Mutex<Kept>,
 }
 
 /// One connection in use; gives its place back when dropped.
@@ -35,6 +37,8 @@
     at: SocketAddr,
     /// Taken out only when it goes back.
     conn: Option<Conn>,
+    /// How long it had been idle; `None` for a new one.
+    pub idle: Option<Duration>,
 }
 
 impl Drop for Link {
@@ -52,6 +56,13 @@
         self.conn.as_mut().expect("a link in use has its connection")
     }
 
+    /// What came of the request on it: `broke` before a byte of an answer had come.
+    pub fn told(&self, broke: bool) {
+        if self.idle.is_some() {
+            self.of.kept().told(broke);
+        }
+    }
+
     /// Keeps it for the next request. One on which something unasked has come is closed.
     pub fn keep(mut self) {
         let Some(mut conn) = self.conn.take() else { return };
@@ -61,29 +72,49 @@
             return;
         }
         conn.shrink();
-        let idle = Idle { conn, since: Instant::now() };
-        self.of.idle().entry(self.at).or_default().push(idle);
+        let trusted = self.of.kept().is_trusted();
+        let mut all = self.of.idle();
+        let of = all.entry(self.at).or_default();
+        // While kept ones are not trusted, one an engine is enough to try them with.
+        if trusted || of.is_empty() {
+            of.push(Idle { conn, since: Instant::now() });
+            return;
+        }
+        drop(all);
+        drop(conn);
+        self.of.open.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
 impl Pool {
     pub fn new(most: usize, engines_close: Option<Duration>) -> Arc<Pool> {
         let idle_for = engines_close.map_or(IDLE, |time| time / IDLE_SHARE);
-        Arc::new(Pool { most, open: AtomicUsize::new(0), idle_for, idle: Mutex::default() })
+        Arc::new(Pool {
+            most,
+            open: AtomicUsize::new(0),
+            idle_for,
+            idle: Mutex::default(),
+            kept: Mutex::default(),
+        })
     }
 
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn kept(&self) -> MutexGuard<'_, Kept> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Open connections, and how many of them are idle.
     pub fn counts(&self) -> (usize, usize) {
         (self.open.load(Ordering::SeqCst), self.idle().values().map(Vec::len).sum())
     }
 
-    /// The connection used last that is still good, or a new one made within `time`.
-    pub fn take(self: &Arc<Pool>, at: SocketAddr, time: Duration) -> Result<Link, NetError> {
-        loop {
+    /// The connection used last that is still good, or a new one made within `time`. `harmless`: what goes on it may
+    /// be repeated, whatever comes of it.
+    pub fn take(self: &Arc<Pool>, at: SocketAddr, time: Duration, harmless: bool) -> Result<Link, NetError> {
+        while self.kept().may_use(harmless) {
             let idle = {
                 let mut all = self.idle();
                 let of = all.get_mut(&at).and_then(Vec::pop);
@@ -92,7 +123,12 @@
             };
             let Some(idle) = idle else { break };
             if idle.since.elapsed() < self.idle_for && idle.conn.is_idle() {
-                return Ok(Link { of: self.clone(), at, conn: Some(idle.conn) });
+                return Ok(Link {
+                    of: self.clone(),
+                    at,
+                    conn: Some(idle.conn),
+                    idle: Some(idle.since.elapsed()),
+                });
             }
             drop(idle);
             self.open.fetch_sub(1, Ordering::SeqCst);
@@ -103,7 +139,7 @@
             return Err(NetError::TimedOut);
         }
         match open(Place::Tcp(at), time) {
-            Ok(conn) => Ok(Link { of: self.clone(), at, conn: Some(conn) }),
+            Ok(conn) => Ok(Link { of: self.clone(), at, conn: Some(conn), idle: None }),
             Err(error) => {
                 self.open.fetch_sub(1, Ordering::SeqCst);
                 Err(error)
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -6,7 +6,8 @@
 use std::net::SocketAddr;
 
 use elderstage::{
-    Action, Arrival, Event, ListMode, Outcome, ReportField, ReqId, Role, Router, ServerId, Settings, Time,
+    Action, Arrival, Event, ListMode, Outcome, Repeat, ReportField, ReqId, Role, Router, ServerId, Settings,
+    Time,
 };
 
 use crate::ask::Ask;
@@ -50,12 +51,14 @@
 /// What is to be done on sockets.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
+    /// `harmless`: it has no effect, or may be repeated.
     Send {
         id: ReqId,
         attempt: u32,
         server: ServerId,
         dial: SocketAddr,
         timeout: Time,
+        harmless: bool,
     },
     Cancel {
         id: ReqId,
@@ -97,6 +100,8 @@
 #[derive(Debug)]
 struct Open {
     trace: Box<str>,
+    /// May run any number of times.
+    safe: bool,
     attempts: u32,
     out: Option<Out>,
     streaming: bool,
@@ -125,6 +130,8 @@
     router: Router,
     fields: Vec<ReportField>,
     roles: Vec<Role>,
+    /// By class: it may run any number of times.
+    safe: Vec<bool>,
     directory: Directory,
     /// Servers whose role is to read.
     readers: HashMap<ServerId, bool>,
@@ -142,6 +149,7 @@
         Hub {
             fields: settings.report_fields.clone(),
             roles: settings.roles.clone(),
+            safe: settings.classes.iter().map(|class| class.repeat == Repeat::Safe).collect(),
             router: Router::new(settings, seed),
             directory: Directory::default(),
             readers: HashMap::new(),
@@ -237,7 +245,8 @@
         }
         self.counts.taken += 1;
         self.ids.insert(ask.trace.clone(), id);
-        let open = Open { trace: ask.trace, attempts: 0, out: None, streaming: false, over: false };
+        let safe = self.safe.get(ask.class).copied().unwrap_or(false);
+        let open = Open { trace: ask.trace, safe, attempts: 0, out: None, streaming: false, over: false };
         self.open.insert(id, open);
         self.events.push_back(Event::Arrived(Arrival {
             id,
@@ -392,10 +401,11 @@
         open.attempts += 1;
         self.counts.attempts += 1;
         let reads = self.readers.get(&server).copied().unwrap_or(false);
+        let harmless = reads || open.safe;
         open.out = Some(Out { attempt, server: server.clone(), sent: now, reads });
         self.leases.wanted(id, true);
         match self.directory.dial(&server) {
-            Some(dial) => out.push(Command::Send { id, attempt, server, dial, timeout }),
+            Some(dial) => out.push(Command::Send { id, attempt, server, dial, timeout, harmless }),
             None => self.ended(now, id, attempt, Outcome::NoConnection, 0, None),
         }
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod ask;
 pub mod hub;
+pub mod kept;
 pub mod leases;
 pub mod list;
 pub mod reply;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,6 +31,8 @@
 const SUSPEND: f64 = 0.5;
 const DOUBLINGS: u32 = 4;
 const TRIALS: f64 = 0.1;
+/// Connections that may break at a server, between two answers, before it is suspected.
+const BROKE: u32 = 1;
 /// Suspects of a role from which on servers are preferred that answered the class within so many aims.
 const WARY: usize = 2;
 const PROVEN: f64 = 12.0;
@@ -143,6 +145,8 @@
 #[derive(Clone, Copy, Default)]
 struct Health {
     strikes: u32,
+    /// Connections that broke since it last answered.
+    broke: u32,
     /// No work before this time, and then one trial at a time.
     until: Time,
     struck: Time,
@@ -510,6 +514,14 @@
         }
     }
 
+    /// Connections to a server that broke under this class since it last answered it, with this one.
+    fn broke(&mut self, server: &ServerId, class: usize) -> u32 {
+        let Some(view) = self.views.get_mut(server) else { return 0 };
+        let health = view.health.entry(class).or_default();
+        health.broke += 1;
+        health.broke
+    }
+
     fn answered(&mut self, server: &ServerId, class: usize, now: Time) {
         let Some(view) = self.views.get_mut(server) else { return };
         view.health.insert(class, Health { answered: now, ..Health::default() });
@@ -647,6 +659,9 @@
                 request.state = None;
                 out.push(Action::Release { id });
             }
+            // One broken connection says little of a server, and one that has died refuses the next at once: guards
+            // against resets on the way that would suspend servers one after the other until none is left.
+            Outcome::Broken if self.broke(server, class) <= BROKE => {}
             _ => {
                 self.strike(server, class, now);
                 // What ran out of time took at least so long: guards against slow servers and jammed links
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -974,3 +974,25 @@
         assert_eq!(actions.first(), Some(&Action::Release { id: ReqId(1) }), "{outcome:?}");
     }
 }
+
+/// Resets on the way are no server's fault: one leaves it in use, a second without an answer in between does not.
+#[test]
+fn one_broken_connection_suspends_no_server() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    bench.teach();
+    let broken = |bench: &mut Bench, id: u32| {
+        assert_eq!(sent_to(&bench.arrive(id, 800.0)).as_deref(), Some("r1"), "request {id}");
+        bench.now += MS;
+        sent_to(&bench.end(id, 0, "r1", Outcome::Broken, 0))
+    };
+    for id in 1..=5 {
+        assert_eq!(broken(&mut bench, id).as_deref(), Some("r1"), "tried again at once");
+        bench.now += 80 * MS;
+        sent_to(&bench.end(id, 1, "r1", Outcome::Read, 0)).unwrap();
+        bench.first(id, 2, "w1");
+        bench.end(id, 2, "w1", Outcome::Served, 0);
+    }
+    assert_eq!(broken(&mut bench, 6).as_deref(), Some("r1"));
+    let next = sent_to(&bench.end(6, 1, "r1", Outcome::Broken, 0));
+    assert_ne!(next.as_deref(), Some("r1"), "two in a row: it is suspected");
+}
