What the hub believes is compared with the sockets; fuzz target of the node's codecs

The users ask that belief and sockets be compared. beliefs.rs counts the connections that carry attempts, by server, and once a second sets them beside what the hub counts out there; what lasts for two looks is logged with both figures. A first target feeds heads, answers, streams in two splits and lists to the codecs.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -93,6 +93,7 @@
             return ended(Reached::NotWhole, Cut::Broken);
         }
     };
+    let _carried = shared.carrying.begin(job.dial);
     let waker = link.conn().waker();
     if !job.seat.begin(job.attempt, waker) || job.seat.is_closed() {
         link.keep();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! A front node of the platform on real sockets: `elderstage node`. Decides nothing: coroutines report what happened
 //! to one owner, which holds the hub and with it the module, and carry out what they are told.
 
+mod beliefs;
 mod client;
 mod discovery;
 mod engine;
@@ -26,6 +27,7 @@
 use signal_hook::iterator::Signals;
 use thiserror::Error;
 
+use beliefs::Carrying;
 use guests::Guests;
 use owner::{In, Owner};
 use pool::Pool;
@@ -69,6 +71,7 @@
     pool: Arc<Pool>,
     guests: Arc<Guests>,
     bodies: Arc<Rooms>,
+    carrying: Arc<Carrying>,
     next_id: AtomicU32,
     ready: AtomicBool,
     /// Connections are closed after their answer.
@@ -123,6 +126,7 @@
         pool: Pool::new(shares.engines, start.names.idle_close.map(Duration::from_micros)),
         guests: Guests::new(shares.clients),
         bodies: Rooms::new(shares.bodies),
+        carrying: Arc::default(),
         names: start.names,
         inbox,
         next_id: AtomicU32::new(1),
@@ -165,6 +169,7 @@
         if tidy.elapsed() >= TIDY {
             tidy = Instant::now();
             shared.pool.reap();
+            shared.tell(In::Compare);
         }
         if trace.elapsed() >= TRACE {
             trace = Instant::now();
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -11,6 +11,7 @@
 use elderstage_platform::hub::{Command, Hub, Input};
 
 use crate::Shared;
+use crate::beliefs::Looks;
 use crate::engine::{self, Attempt};
 use crate::seat::{Mail, Seat};
 
@@ -25,6 +26,8 @@
     Hub(Input),
     /// Write what is held and counted to the log.
     Trace,
+    /// Compare what is held to be out with the connections that carry attempts.
+    Compare,
 }
 
 pub struct Owner {
@@ -32,11 +35,12 @@
     shared: Arc<Shared>,
     seats: HashMap<ReqId, Arc<Seat>>,
     commands: Vec<Command>,
+    looks: Looks,
 }
 
 impl Owner {
     pub fn new(hub: Hub, shared: Arc<Shared>) -> Owner {
-        Owner { hub, shared, seats: HashMap::new(), commands: Vec::new() }
+        Owner { hub, shared, seats: HashMap::new(), commands: Vec::new(), looks: Looks::default() }
     }
 
     fn carry_out(&mut self) {
@@ -83,6 +87,14 @@
         }
     }
 
+    fn compare(&mut self) {
+        for differs in self.looks.look(&self.hub.in_flight(), &self.shared.carrying.now()) {
+            tracing::warn!(
+                target: "node", server = %differs.at, believed = differs.believed, open = differs.open, "differs",
+            );
+        }
+    }
+
     /// What the module holds beside what is open on sockets.
     fn trace(&self) {
         let (open, leases) = self.hub.held();
@@ -111,6 +123,7 @@
             }
             In::Hub(input) => self.hub.handle(now, input, &mut self.commands),
             In::Trace => self.trace(),
+            In::Compare => self.compare(),
         }
         self.carry_out();
         true
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -92,6 +92,7 @@
 struct Out {
     attempt: u32,
     server: ServerId,
+    dial: Option<SocketAddr>,
     sent: Time,
     /// It reads a prompt and leaves a state behind.
     reads: bool,
@@ -181,11 +182,11 @@
         self.directory.len()
     }
 
-    /// By server, the attempts that the module counts there: what a trace compares with open sockets.
-    pub fn in_flight(&self) -> BTreeMap<ServerId, usize> {
+    /// By address, the attempts that the module counts there: what a trace compares with open sockets.
+    pub fn in_flight(&self) -> BTreeMap<SocketAddr, usize> {
         let mut by = BTreeMap::new();
-        for out in self.open.values().filter_map(|open| open.out.as_ref()) {
-            *by.entry(out.server.clone()).or_insert(0) += 1;
+        for dial in self.open.values().filter_map(|open| open.out.as_ref()?.dial) {
+            *by.entry(dial).or_insert(0) += 1;
         }
         by
     }
@@ -402,9 +403,10 @@
         self.counts.attempts += 1;
         let reads = self.readers.get(&server).copied().unwrap_or(false);
         let harmless = reads || open.safe;
-        open.out = Some(Out { attempt, server: server.clone(), sent: now, reads });
+        let dial = self.directory.dial(&server);
+        open.out = Some(Out { attempt, server: server.clone(), dial, sent: now, reads });
         self.leases.wanted(id, true);
-        match self.directory.dial(&server) {
+        match dial {
             Some(dial) => out.push(Command::Send { id, attempt, server, dial, timeout, harmless }),
             None => self.ended(now, id, attempt, Outcome::NoConnection, 0, None),
         }
--- /dev/null
+++ b/fuzz/fuzz_targets/node.rs
@@ -0,0 +1,70 @@
+//! What a front node reads from clients, engines and discovery: no bytes make it panic or hold more than a bound, and a
+//! stream gives the same events however its bytes are split.
+#![no_main]
+
+use elderstage::settings::Names;
+use elderstage_platform::ask::{self, Ask};
+use elderstage_platform::list::Directory;
+use elderstage_platform::reply;
+use elderstage_platform::stream::Stream;
+use elderstage_protocol::http::{self, Limits};
+use libfuzzer_sys::fuzz_target;
+
+const LIMITS: Limits = Limits { head: 16 << 10, body: ask::MOST_BODY };
+
+fn stream(bytes: &[u8], step: usize) -> (Vec<u8>, bool) {
+    let (mut stream, mut out) = (Stream::new(), Vec::new());
+    for piece in bytes.chunks(step.max(1)) {
+        match stream.push(piece, &mut out) {
+            Ok(n) if n == piece.len() => {}
+            _ => break,
+        }
+    }
+    (out, stream.whole())
+}
+
+fuzz_target!(|data: &[u8]| {
+    let Some((&first, rest)) = data.split_first() else { return };
+    let words = |list: &[&str]| list.iter().map(|word| (*word).to_owned()).collect();
+    let names = Names {
+        zones: words(&["a"]),
+        kinds: words(&["b"]),
+        classes: words(&["c"]),
+        tenants: Vec::new(),
+        idle_close: None,
+        longest_wait: 1_000_000,
+    };
+    match first % 4 {
+        0 => {
+            if let Ok(Some((head, _))) = http::parse_request(rest, LIMITS) {
+                let wanted = ask::wanted(&head);
+                if let Ok(ask) = Ask::read(&head, 400, &names) {
+                    assert!(ask.time_left <= names.longest_wait && ask.class == 0);
+                    assert!(ask.trace.bytes().all(|b| b.is_ascii_graphic() && b != b'/'));
+                }
+                drop(wanted);
+            }
+        }
+        1 => {
+            if let Ok(Some((head, _))) = http::parse_response(rest, LIMITS) {
+                let _ = reply::verdict(&head);
+            }
+            let _ = reply::cached(rest);
+        }
+        2 => {
+            let (whole, split) = (stream(rest, rest.len()), stream(rest, 1 + usize::from(first) / 4));
+            // What is passed on before a stream is found spoilt may differ by where the bytes were split, never in what
+            // it says: one is the beginning of the other.
+            let (short, long) = if whole.0.len() < split.0.len() { (&whole.0, &split.0) } else { (&split.0, &whole.0) };
+            assert!(long.starts_with(short));
+            assert_eq!(whole.1, split.1);
+        }
+        _ => {
+            if let Ok(list) = Directory::parse(rest, &names) {
+                let mut directory = Directory::default();
+                let hosts = list.hosts.len();
+                assert!(directory.take(list, false).1.len() == hosts && directory.len() <= hosts);
+            }
+        }
+    }
+});
