A reload takes over other figures whole or is refused; streams are moved a little earlier

A configuration at SIGHUP moved discovery and dropped changed settings without a word (node/src/lib.rs, reload). Now figures of the settings reach the module (Router::adopt), and one that changes listen, limits or names is refused whole, with what can't change named. Streams are moved between 35 and 90% of the time of a front that ends (the last half before): by the logs a front that is told first lost half of its moves to the gap in which its neighbour had stopped, too.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -127,7 +127,7 @@
         guests: Guests::new(shares.clients),
         bodies: Rooms::new(shares.bodies),
         carrying: Arc::default(),
-        names: start.names,
+        names: start.names.clone(),
         inbox,
         next_id: AtomicU32::new(1),
         ready: AtomicBool::new(false),
@@ -137,10 +137,10 @@
         discovery: Mutex::new((start.discovery, 0)),
     });
     let longest = Duration::from_micros(shared.names.longest_wait);
-    let hub = Hub::new(start.settings, start.seed);
+    let hub = Hub::new(start.settings.clone(), start.seed);
     run("owner", clock, events, Owner::new(hub, shared.clone())).map_err(NodeError::System)?;
     let seq = start.known.seq;
-    shared.tell(In::Hub(Input::Listed { list: start.known, restored: true }));
+    shared.tell(In::Hub(Input::Listed { list: start.known.clone(), restored: true }));
     let listener =
         Listener::bind(start.listen).map_err(|error| NodeError::Listen { at: start.listen, error })?;
     let stop = listener.stopper();
@@ -158,7 +158,7 @@
     loop {
         for signal in signals.pending() {
             match signal {
-                SIGHUP => reload(&shared, path),
+                SIGHUP => reload(&shared, &start, path),
                 _ if term.is_none() => {
                     tracing::info!(target: "node", "told to stop");
                     term = Some(Instant::now());
@@ -207,12 +207,19 @@
 }
 
 /// Takes a new configuration whole or not at all. Engines, requests and connections stay.
-fn reload(shared: &Shared, path: &Path) {
+fn reload(shared: &Shared, running: &Start, path: &Path) {
     match read(path) {
-        Ok(start) => {
-            shared.move_discovery(start.discovery);
-            tracing::info!(target: "node", discovery = %start.discovery, "configuration taken");
-        }
+        Ok(new) => match running.needs_restart(&new) {
+            None => {
+                shared.move_discovery(new.discovery);
+                let settings = Box::new(new.settings);
+                shared.tell(In::Hub(Input::Settings { settings }));
+                tracing::info!(target: "node", discovery = %new.discovery, "configuration taken");
+            }
+            Some(what) => {
+                tracing::error!(target: "node", what, "configuration not taken: this can't change while the node runs");
+            }
+        },
         Err(error) => tracing::error!(target: "node", %error, "configuration not taken, the old one stays"),
     }
 }
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -34,6 +34,8 @@
     Said { id: ReqId, holder: ServerId, heard: bool },
     /// The node ends, within this time.
     Stopping { within: Time },
+    /// New figures for the same classes, kinds and zones.
+    Settings { settings: Box<Settings> },
 }
 
 /// The final answer to a client, other than a stream.
@@ -228,6 +230,12 @@
             }
             Input::Listed { list, restored } => self.listed(list, restored),
             Input::Stopping { within } => self.events.push_back(Event::Stopping { within }),
+            Input::Settings { settings } => {
+                self.fields = settings.report_fields.clone();
+                self.roles = settings.roles.clone();
+                self.safe = settings.classes.iter().map(|class| class.repeat == Repeat::Safe).collect();
+                self.router.adopt(*settings);
+            }
             Input::Said { id, holder, heard } => {
                 if let Some(call) = self.leases.said(id, &holder, heard, now) {
                     self.counts.releases_again += 1;
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -117,4 +117,16 @@
             known,
         })
     }
+
+    /// What a running node could not take over from another configuration: it needs a restart for it.
+    pub fn needs_restart(&self, other: &Start) -> Option<&'static str> {
+        if self.listen != other.listen {
+            return Some("listen");
+        }
+        if self.allowed != other.allowed {
+            return Some("limits");
+        }
+        let differs = self.names != other.names || self.settings.me != other.settings.me;
+        differs.then_some("names of classes, kinds, zones or tenants, or limits of sockets in the settings")
+    }
 }
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -277,6 +277,11 @@
         "limits":{"cores":0.5,"memory_mb":64,"sockets":512},"settings":{"services":[{"name":"plain"}]}}"#;
     let start = Start::parse(good).unwrap();
     assert_eq!((start.seed, start.allowed.descriptors), (0x8c1f_30d2_7a5b_e964, 512));
+    let other = |from: &str, to: &str| start.needs_restart(&Start::parse(&good.replace(from, to)).unwrap());
+    assert_eq!(other("127.0.0.1:2", "127.0.0.1:9"), None, "discovery may move");
+    assert_eq!(other("127.0.0.1:1", "127.0.0.1:9"), Some("listen"));
+    assert_eq!(other("512", "256"), Some("limits"));
+    assert!(other("plain", "fancy").is_some());
     for (from, to, says) in [
         ("\"listen\":\"127.0.0.1:1\",", "", "listen: is missing"),
         ("127.0.0.1:2", "there", "discovery: \"there\" is not an address and port"),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -90,9 +90,9 @@
 /// A failed call for the list is made again after this part of its span; ticks that a send takes to arrive.
 const ASK_AGAIN: u64 = 4;
 const TRAVEL: u64 = 4;
-/// Streams are moved in this last part of the time of a front that ends: before, many end by themselves, and a
-/// neighbour that ended first may not be back.
-const MOVING: f64 = 0.5;
+/// Streams are moved in this part of the time of a front that ends: before, many end by themselves and a neighbour
+/// that ended first may not be back; after, there is no time left for what was passed on to arrive.
+const MOVING: (f64, f64) = (0.35, 0.9);
 /// Without a hint, the share of its longest that an answer takes; seconds of a tenant's share in its bucket.
 const ANSWER: f64 = 0.5;
 const QUOTA_SPAN: f64 = 2.0;
@@ -284,8 +284,8 @@
     may_ask: bool,
     armed: bool,
     asked: Option<Time>,
-    /// When the next stream is moved, and when this front ends.
-    stop: Option<(Time, Time)>,
+    /// When the next stream is moved, when all are to be, and when this front ends.
+    stop: Option<(Time, Time, Time)>,
 }
 
 impl Router {
@@ -327,7 +327,8 @@
                 self.sweep(now, out);
             }
             Event::Stopping { within } => {
-                self.stop = Some((now + ((1.0 - MOVING) * within as f64) as Time, now + within));
+                let at = |part: f64| now + (part * within as f64) as Time;
+                self.stop = Some((at(MOVING.0), at(MOVING.1), now + within));
             }
             Event::Timer { .. } | Event::Place { .. } => {}
         }
@@ -339,6 +340,17 @@
         self.arm(out);
     }
 
+    /// Goes on with other figures; classes, kinds and tenants are the same.
+    pub fn adopt(&mut self, set: Settings) {
+        self.may_ask = set.may_probe && !set.report_fields.is_empty() && set.fronts > FEW_FRONTS;
+        for view in self.views.values_mut() {
+            view.role = set.roles.get(view.entry.kind).copied().unwrap_or(Role::Mixed);
+            view.kv = set.kv_tokens.get(view.entry.kind).copied().unwrap_or(0.0);
+        }
+        self.quota.resize(set.tenants.len(), (0.0, 0));
+        self.set = set;
+    }
+
     fn random(&mut self) -> f64 {
         self.seed ^= self.seed << 13;
         self.seed ^= self.seed >> 7;
@@ -725,7 +737,8 @@
     /// Where this front ends, streams that it would cut go on elsewhere before: one after the other over the
     /// time that is left. Guards against all their clients coming again at once, which no reader can take.
     fn move_streams(&mut self, now: Time, out: &mut Vec<Action>) {
-        let Some((_, end)) = self.stop.filter(|(due, _)| self.set.resume && now >= *due) else { return };
+        let stop = self.stop.filter(|(due, _, _)| self.set.resume && now >= *due);
+        let Some((_, last, end)) = stop else { return };
         let class = |request: &Request| self.set.classes.get(request.ask.class).map_or(0.0, |c| c.tpot_aim);
         // One that is past its time at the nominal pace is at a slow writer: its end is not known.
         let ends = |id: &ReqId, request: &Request| {
@@ -738,7 +751,7 @@
         let cut = cut.filter_map(|(id, request)| Some((ends(id, request)?, *id)));
         let cut: Vec<(Time, ReqId)> = cut.collect();
         let Some((_, id)) = cut.iter().max() else { return };
-        self.stop = Some((now + end.saturating_sub(now) / cut.len() as Time, end));
+        self.stop = Some((now + last.saturating_sub(now) / cut.len() as Time, last, end));
         if let Some(request) = self.requests.get_mut(id) {
             request.ended = true;
             out.push(Action::Move { id: *id });
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -996,3 +996,20 @@
     let next = sent_to(&bench.end(6, 1, "r1", Outcome::Broken, 0));
     assert_ne!(next.as_deref(), Some("r1"), "two in a row: it is suspected");
 }
+
+/// New figures for the same classes and kinds are taken over while requests are open.
+#[test]
+fn other_figures_are_adopted_under_way() {
+    let mut bench = Bench::new(&["r1", "w1"]);
+    bench.teach();
+    assert_eq!(sent_to(&bench.arrive(1, 800.0)).as_deref(), Some("r1"));
+    bench.router.adopt(Settings {
+        writers_read: false,
+        most_tries: 1,
+        roles: vec![Role::Decode; 3],
+        ..example_settings()
+    });
+    let actions = bench.end(1, 0, "r1", Outcome::Full, 0);
+    assert_eq!((sent_to(&actions), final_answers(&actions, 1)), (None, 1), "no more tries: {actions:?}");
+    assert_eq!(sent_to(&bench.arrive(2, 800.0)), None, "nobody reads any more");
+}
