--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,7 @@
 use elderstage_net::owner::{Clock, Inbox, queue, run};
 use elderstage_net::{Conn, Listener, go, init_small};
 use elderstage_platform::hub::{Hub, Input};
-use elderstage_platform::start::{Start, StartError};
+use elderstage_platform::start::{Companions, Start, StartError};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use thiserror::Error;
@@ -104,16 +104,16 @@
     }
 }
 
-fn read(path: &Path) -> Result<Start, NodeError> {
+fn read(path: &Path, besides: &Companions) -> Result<Start, NodeError> {
     let shown = path.display().to_string();
     let text =
         std::fs::read_to_string(path).map_err(|error| NodeError::Read { path: shown.clone(), error })?;
-    Start::parse(&text).map_err(|error| NodeError::Config { path: shown, error })
+    Start::parse(&text, besides).map_err(|error| NodeError::Config { path: shown, error })
 }
 
 /// Runs a node until SIGTERM or SIGINT and until all it took is answered.
-pub fn node(path: &Path) -> Result<(), NodeError> {
-    let start = read(path)?;
+pub fn node(path: &Path, besides: &Companions) -> Result<(), NodeError> {
+    let start = read(path, besides)?;
     // Caught from here on: a signal during the start waits.
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(NodeError::System)?;
     let shares = limits::Shares::of(start.allowed);
@@ -158,7 +158,7 @@
     loop {
         for signal in signals.pending() {
             match signal {
-                SIGHUP => reload(&shared, &start, path),
+                SIGHUP => reload(&shared, &start, path, besides),
                 _ if term.is_none() => {
                     tracing::info!(target: "node", "told to stop");
                     term = Some(Instant::now());
@@ -207,8 +207,8 @@
 }
 
 /// Takes a new configuration whole or not at all. Engines, requests and connections stay.
-fn reload(shared: &Shared, running: &Start, path: &Path) {
-    match read(path) {
+fn reload(shared: &Shared, running: &Start, path: &Path, besides: &Companions) {
+    match read(path, besides) {
         Ok(new) => match running.needs_restart(&new) {
             None => {
                 shared.move_discovery(new.discovery);
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -56,8 +56,17 @@
     StartError::Wrong { key, value: value.to_string(), wanted }
 }
 
-fn addr(root: &Value, key: &'static str) -> Result<SocketAddr, StartError> {
-    let value = field(root, key)?;
+/// What the environment tells besides; the file prevails, since it can be replaced while the node runs.
+#[derive(Clone, Debug, Default)]
+pub struct Companions {
+    pub name: Option<String>,
+    pub listen: Option<String>,
+    pub discovery: Option<String>,
+}
+
+fn addr(root: &Value, key: &'static str, besides: Option<&String>) -> Result<SocketAddr, StartError> {
+    let besides = besides.map(|text| Value::from(text.as_str()));
+    let value = field(root, key).or_else(|error| besides.as_ref().ok_or(error))?;
     value.as_str().and_then(|text| text.parse().ok()).ok_or_else(|| wrong(key, value, "an address and port"))
 }
 
@@ -78,7 +87,7 @@
 
 impl Start {
     /// Reads the text of a configuration file. It is taken whole or not at all.
-    pub fn parse(text: &str) -> Result<Start, StartError> {
+    pub fn parse(text: &str, besides: &Companions) -> Result<Start, StartError> {
         let root: Value = serde_json::from_str(text)?;
         if !root.is_object() {
             return Err(wrong("configuration", &Value::Null, "an object"));
@@ -105,11 +114,12 @@
             None | Some(Value::Null) => List { seq: 0, whole: true, hosts: Vec::new() },
             Some(value) => Directory::read(value, &names)?,
         };
-        let name = root.get("name").and_then(Value::as_str).unwrap_or_default().to_owned();
+        let name = root.get("name").and_then(Value::as_str).map(str::to_owned);
+        let name = name.or_else(|| besides.name.clone()).unwrap_or_default();
         Ok(Start {
             name,
-            listen: addr(&root, "listen")?,
-            discovery: addr(&root, "discovery")?,
+            listen: addr(&root, "listen", besides.listen.as_ref())?,
+            discovery: addr(&root, "discovery", besides.discovery.as_ref())?,
             seed,
             allowed,
             settings: set,
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -6,7 +6,7 @@
 use elderstage_platform::list::Directory;
 use elderstage_platform::reply::{self, Cut, Reached, Verdict};
 use elderstage_platform::report;
-use elderstage_platform::start::Start;
+use elderstage_platform::start::{Companions, Start, StartError};
 use elderstage_platform::stream::{Spoilt, Stream};
 use elderstage_protocol::http::{self, HttpError, Limits, Request, Response};
 use proptest::prelude::*;
@@ -23,6 +23,10 @@
     }
 }
 
+fn parse(text: &str) -> Result<Start, StartError> {
+    Start::parse(text, &Companions::default())
+}
+
 fn head(text: &str) -> Request {
     let text = text.replace('\n', "\r\n") + "\r\n\r\n";
     http::parse_request(text.as_bytes(), Limits::default()).unwrap().unwrap().0
@@ -175,7 +179,7 @@
         let _ = Directory::parse(&noise, &names());
         let text = String::from_utf8_lossy(&noise);
         let _ = report::parse(&text, &[ReportField::Queue]);
-        let _ = Start::parse(&text);
+        let _ = parse(&text);
         let _ = reply::cached(&noise);
     }
 }
@@ -275,9 +279,13 @@
 fn a_bad_configuration_is_named_by_what_is_wrong() {
     let good = r#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
         "limits":{"cores":0.5,"memory_mb":64,"sockets":512},"settings":{"services":[{"name":"plain"}]}}"#;
-    let start = Start::parse(good).unwrap();
+    let start = parse(good).unwrap();
     assert_eq!((start.seed, start.allowed.descriptors), (0x8c1f_30d2_7a5b_e964, 512));
-    let other = |from: &str, to: &str| start.needs_restart(&Start::parse(&good.replace(from, to)).unwrap());
+    let besides = Companions { discovery: Some("127.0.0.1:7".into()), ..Companions::default() };
+    assert_eq!(Start::parse(good, &besides).unwrap().discovery.port(), 2, "the file prevails");
+    let bare = good.replace("\"discovery\":\"127.0.0.1:2\",", "");
+    assert_eq!(Start::parse(&bare, &besides).unwrap().discovery.port(), 7);
+    let other = |from: &str, to: &str| start.needs_restart(&parse(&good.replace(from, to)).unwrap());
     assert_eq!(other("127.0.0.1:2", "127.0.0.1:9"), None, "discovery may move");
     assert_eq!(other("127.0.0.1:1", "127.0.0.1:9"), Some("listen"));
     assert_eq!(other("512", "256"), Some("limits"));
@@ -294,7 +302,7 @@
         ),
         ("}]}}", "}]}", "bad JSON"),
     ] {
-        let error = Start::parse(&good.replace(from, to)).unwrap_err().to_string();
+        let error = parse(&good.replace(from, to)).unwrap_err().to_string();
         assert!(error.contains(says), "{error}");
     }
 }
