--- a/src/brain.rs
+++ b/src/brain.rs
@@ -90,8 +90,8 @@
 /// A failed call for the list is made again after this part of its span; ticks that a send takes to arrive.
 const ASK_AGAIN: u64 = 4;
 const TRAVEL: u64 = 4;
-/// Streams are moved in this part of the time of a front that ends: before, many end by themselves and a neighbour
-/// that ended first may not be back; after, there is no time left for what was passed on to arrive.
+/// Streams are moved in this part of the time of a front that ends: before, many end by themselves and a
+/// neighbour that ended first may not be back; after, there is no time for what was passed on to arrive.
 const MOVING: (f64, f64) = (0.35, 0.9);
 /// Without a hint, the share of its longest that an answer takes; seconds of a tenant's share in its bucket.
 const ANSWER: f64 = 0.5;
@@ -671,8 +671,8 @@
                 request.state = None;
                 out.push(Action::Release { id });
             }
-            // One broken connection says little of a server, and one that has died refuses the next at once: guards
-            // against resets on the way that would suspend servers one after the other until none is left.
+            // One broken connection says little of a server, and one that has died refuses the next at once:
+            // guards against resets on the way that would suspend one server after the other.
             Outcome::Broken if self.broke(server, class) <= BROKE => {}
             _ => {
                 self.strike(server, class, now);
