--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -37,8 +37,11 @@
 }
 
 fn start(platform: &Platform, change: impl Fn(&mut Value)) -> Node {
+    start_at(platform, free(), change)
+}
+
+fn start_at(platform: &Platform, addr: SocketAddr, change: impl Fn(&mut Value)) -> Node {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let addr = free();
     let mut config = platform.config(addr, platform.discovery.addr, true);
     change(&mut config);
     let n = NEXT.fetch_add(1, Ordering::SeqCst);
@@ -478,3 +481,25 @@
     assert!(String::from_utf8_lossy(&done.stderr).contains("PROXY_CONFIG is not set"));
     std::fs::remove_file(&path).unwrap();
 }
+
+/// Killed outright and started again under its name and address: it takes over from nothing, and what the first had
+/// under way is neither answered nor sent a second time by the second.
+#[test]
+fn a_node_killed_outright_starts_again_from_nothing() {
+    let platform = Platform::start(2, 2).unwrap();
+    let node = start(&platform, |_| {});
+    let addr = node.addr;
+    let mut open = node.client();
+    open.send(&chat("reader-silent-1", "once", 4000));
+    let begun = || platform.traffic.seen().iter().any(|seen| matches!(seen.pass, Pass::Begun { .. }));
+    assert!(Platform::until(LONG, begun));
+    drop(node);
+    assert_eq!(open.answer().status, 0, "its connection ends");
+    let again = start_at(&platform, addr, |_| {});
+    assert!(whole(&again.ask("after-kill-1", "once")));
+    let sent = platform.traffic.seen();
+    let sent = sent
+        .iter()
+        .filter(|seen| matches!(&seen.pass, Pass::Begun { trace, .. } if trace.starts_with("reader-silent")));
+    assert_eq!(sent.count(), 1);
+}
