A list that can't be read ends the watch; node example for the README; hub tests

Read over once more. discovery.rs, lines: a line that could not be read was dropped while its watch went on, and what it told (a drain, say) was lost until the watch ended by itself; now the watch ends and the next begins with the whole list. Conn::used can't overflow. Moves at the end of a node and settings at SIGHUP had no test between module and sockets: two in hub.rs.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -503,3 +503,18 @@
         .filter(|seen| matches!(&seen.pass, Pass::Begun { trace, .. } if trace.starts_with("reader-silent")));
     assert_eq!(sent.count(), 1);
 }
+
+/// What a line that can't be read told must not be lost: the watch begins anew with the whole list.
+#[test]
+fn a_list_that_cannot_be_read_is_asked_for_anew() {
+    let platform = Platform::start(1, 1).unwrap();
+    let node = start(&platform, |_| {});
+    let watches = || platform.discovery.asked().len();
+    assert!(Platform::until(LONG, || watches() == 1));
+    // The first watch has its list and is open: what comes now comes as a change.
+    std::thread::sleep(Duration::from_millis(300));
+    platform.discovery.garble();
+    assert!(Platform::until(LONG, || watches() > 1), "the watch is taken up again");
+    assert!(platform.discovery.asked()[1].ends_with("index=0"), "{:?}", platform.discovery.asked());
+    assert!(whole(&node.ask("after-noise-1", "plain")));
+}
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -180,7 +180,7 @@
 
     /// So many bytes of what has come were used.
     pub fn used(&mut self, n: usize) {
-        self.at = (self.at + n).min(self.buffer.len());
+        self.at = self.at.saturating_add(n).min(self.buffer.len());
     }
 
     /// Gives memory back that a large message needed.
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -63,7 +63,7 @@
             Some(body) => {
                 let n = body.push(conn.pending(), &mut held)?;
                 conn.used(n);
-                if lines(shared, &mut held, seq) {
+                if lines(shared, &mut held, seq)? {
                     until = Instant::now() + SILENT;
                 }
                 if body.done() && body.framing() != Framing::UntilClose {
@@ -91,8 +91,9 @@
     Ok(())
 }
 
-/// Takes whole lines. `true` where there was one, an empty one included.
-fn lines(shared: &Arc<Shared>, held: &mut Vec<u8>, seq: &mut u64) -> bool {
+/// Takes whole lines. `true` where there was one, an empty one included. A list that can't be read ends the watch:
+/// the next one begins with the whole list, so that nothing it told is lost.
+fn lines(shared: &Arc<Shared>, held: &mut Vec<u8>, seq: &mut u64) -> Result<bool, NetError> {
     let mut at = 0;
     while let Some(end) = held[at..].iter().position(|b| *b == b'\n') {
         let line = held[at..at + end].trim_ascii();
@@ -107,12 +108,13 @@
                 shared.tell(In::Hub(Input::Listed { list, restored: false }));
             }
             Err(error) => {
-                // The whole list is asked for with the next watch.
-                tracing::warn!(target: "node", %error, "a list that can't be read");
                 *seq = 0;
+                return Err(NetError::Io(std::io::Error::other(format!(
+                    "a list that can't be read: {error}"
+                ))));
             }
         }
     }
     held.drain(..at);
-    at > 0
+    Ok(at > 0)
 }
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -306,3 +306,9 @@
         assert!(error.contains(says), "{error}");
     }
 }
+
+#[test]
+fn the_example_of_the_readme_is_a_good_configuration() {
+    let start = parse(include_str!("../../../examples/node.json")).unwrap();
+    assert_eq!((start.known.hosts.len(), start.names.classes.len()), (2, 1));
+}
--- a/crates/platform/tests/hub.rs
+++ b/crates/platform/tests/hub.rs
@@ -244,3 +244,34 @@
     assert_eq!(world.hub.servers(), 4);
     assert_eq!(world.hub.next_timer(), None, "no timer is left when nothing is open");
 }
+
+/// The node ends: the module's moves come out as commands, one by one, and the stream that is moved is over.
+#[test]
+fn streams_are_moved_when_the_node_ends() {
+    let mut world = World::with(Settings { resume: true, ..example_settings() });
+    let (attempt, _) =
+        sent(&world.tell(Input::Arrived { id: ReqId(1), ask: Ask { hint: 60_000 * MS, ..ask("a") } }))
+            .unwrap();
+    world.end(1, attempt, Outcome::Read);
+    world.tell(Input::First { id: ReqId(1), attempt: 1 });
+    world.tell(Input::Stopping { within: 2_000 * MS });
+    let commands = world.pass(2_000 * MS);
+    let moves = commands.iter().filter(|command| **command == Command::Move { id: ReqId(1) }).count();
+    assert_eq!(moves, 1, "{commands:?}");
+    let commands = world.end(1, 1, Outcome::Cancelled);
+    assert!(commands.contains(&Command::Forget { id: ReqId(1) }) && answer(&commands).is_none());
+}
+
+/// Other figures at SIGHUP reach the module.
+#[test]
+fn other_settings_are_taken_over() {
+    let mut world = World::with(example_settings());
+    let settings = Box::new(Settings { max_retry_after: 40 * MS, ..example_settings() });
+    world.tell(Input::Settings { settings });
+    let gone = ["reader", "spare", "writer"].map(|name| host(name, 0, 1, Listed::Gone)).into();
+    world.tell(Input::Listed { list: List { seq: 2, whole: false, hosts: gone }, restored: false });
+    world.arrive(1, "a");
+    let commands = world.pass(1_000 * MS);
+    let Some(Last::Refused { retry_after }) = answer(&commands) else { panic!("{commands:?}") };
+    assert!(retry_after <= 40 * MS, "{retry_after}");
+}
--- a/crates/standin/src/platform/discovery.rs
+++ b/crates/standin/src/platform/discovery.rs
@@ -122,6 +122,14 @@
         inner.changes.push((seq, json!({"seq": seq, "whole": false, "hosts": hosts}).to_string()));
     }
 
+    /// Tells the watches a line that is no list, as the change of a version.
+    pub fn garble(&self) {
+        let mut inner = self.inner();
+        inner.seq += 1;
+        let seq = inner.seq;
+        inner.changes.push((seq, "{\"seq\":".to_owned()));
+    }
+
     /// From now on it says nothing, or speaks again.
     pub fn silence(&self, silent: bool) {
         let mut inner = self.inner();
