--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -36,11 +36,15 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
+/// On a port that is asked for. Another test may take it before the node does: the node ends then, and the next port is
+/// tried.
 fn start(platform: &Platform, change: impl Fn(&mut Value)) -> Node {
-    start_at(platform, free(), change)
+    let mut tries = (0..20).map(|_| start_at(platform, free(), &change));
+    tries.find_map(|node| node).expect("the node does not become ready")
 }
 
-fn start_at(platform: &Platform, addr: SocketAddr, change: impl Fn(&mut Value)) -> Node {
+/// `None` where the node ends instead of becoming ready.
+fn start_at(platform: &Platform, addr: SocketAddr, change: impl Fn(&mut Value)) -> Option<Node> {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let mut config = platform.config(addr, platform.discovery.addr, true);
     change(&mut config);
@@ -49,10 +53,14 @@
     std::fs::write(&path, config.to_string()).unwrap();
     let mut command = Command::new(PROGRAM);
     command.args(["--log-level", "warn", "node"]).env("PROXY_CONFIG", &path).stdin(Stdio::null());
-    let node = Node { child: command.spawn().unwrap(), addr, config: path };
-    let ready = || Client::to(node.addr).is_some_and(|mut client| client.get("/-/ready") == Some(200));
-    assert!(Platform::until(LONG, ready), "the node does not become ready");
-    node
+    let mut node = Node { child: command.spawn().unwrap(), addr, config: path };
+    let mut ended = false;
+    let ready = || {
+        ended = node.child.try_wait().unwrap().is_some();
+        ended || Client::to(addr).is_some_and(|mut client| client.get("/-/ready") == Some(200))
+    };
+    assert!(Platform::until(LONG, ready), "the node neither ends nor becomes ready");
+    (!ended).then_some(node)
 }
 
 impl Node {
@@ -495,7 +503,9 @@
     assert!(Platform::until(LONG, begun));
     drop(node);
     assert_eq!(open.answer().status, 0, "its connection ends");
-    let again = start_at(&platform, addr, |_| {});
+    // Its port is free but for what another test may take for a moment.
+    let mut again = (0..20).map(|_| start_at(&platform, addr, |_| {}));
+    let again = again.find_map(|node| node).expect("it starts again");
     assert!(whole(&again.ask("after-kill-1", "once")));
     let sent = platform.traffic.seen();
     let sent = sent
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -115,8 +115,8 @@
         match event {
             In::Open { id, ask, seat } => {
                 tracing::debug!(
-                    target: "taken", trace = %ask.trace, class = ask.class, left_ms = ask.time_left / 1000,
-                    prompt = ask.prompt, session = ?ask.session, again = ask.returned,
+                    target: "taken", trace = %ask.trace, class = ask.arrival.class, left_ms = ask.arrival.time_left / 1000,
+                    prompt = ask.arrival.prompt, session = ?ask.arrival.session, again = ask.arrival.returned,
                 );
                 self.seats.insert(id, seat);
                 self.hub.handle(now, Input::Arrived { id, ask }, &mut self.commands);
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -1,7 +1,7 @@
 //! Clients' requests: a head and a body to what the module is told, or the status that says why not.
 
 use elderstage::settings::Names;
-use elderstage::{TextKey, Time};
+use elderstage::{Arrival, ReqId, TextKey};
 use elderstage_protocol::http::{Framing, Request};
 use thiserror::Error;
 
@@ -71,21 +71,11 @@
     Ready,
 }
 
-/// What the module is told of a request, and the id that it goes by.
-#[derive(Clone, Debug, PartialEq)]
+/// What the module is told of a request, and the id that it goes by. The module's own number is the node's to give.
+#[derive(Clone, Debug)]
 pub struct Ask {
     pub trace: Box<str>,
-    pub class: usize,
-    pub tenant: usize,
-    pub session: Option<TextKey>,
-    pub prefix: Option<TextKey>,
-    pub time_left: Time,
-    pub hint: Time,
-    pub prompt: f64,
-    pub shared: f64,
-    pub max_out: f64,
-    pub repeat: bool,
-    pub returned: bool,
+    pub arrival: Arrival,
 }
 
 /// What is asked for, from the head alone: a body is refused before it is read.
@@ -157,8 +147,8 @@
         let session = single(head, SESSION)?.map_or(Ok(None), |value| key(value, SESSION))?;
         let hint = single(head, HINT)?.map_or(Ok(0), |value| whole(value, HINT))?;
         let again = single(head, AGAIN)?.unwrap_or_default();
-        let mut ask = Ask {
-            trace: trace.into(),
+        let mut arrival = Arrival {
+            id: ReqId::default(),
             class,
             tenant,
             session,
@@ -176,15 +166,15 @@
             let (name, value) = part.split_once('=').ok_or(Refusal::Unreadable(PROPS))?;
             let value = value.trim();
             match name.trim() {
-                "prefix" => ask.prefix = key(value, PROPS)?,
-                "prompt_len" => ask.prompt = whole(value, PROPS)? as f64,
-                "prefix_len" => ask.shared = whole(value, PROPS)? as f64,
-                "max_out" => ask.max_out = whole(value, PROPS)? as f64,
+                "prefix" => arrival.prefix = key(value, PROPS)?,
+                "prompt_len" => arrival.prompt = whole(value, PROPS)? as f64,
+                "prefix_len" => arrival.shared = whole(value, PROPS)? as f64,
+                "max_out" => arrival.max_out = whole(value, PROPS)? as f64,
                 // Later versions may tell more.
                 _ => {}
             }
         }
-        Ok(ask)
+        Ok(Ask { trace: trace.into(), arrival })
     }
 }
 
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -254,23 +254,10 @@
         }
         self.counts.taken += 1;
         self.ids.insert(ask.trace.clone(), id);
-        let safe = self.safe.get(ask.class).copied().unwrap_or(false);
+        let safe = self.safe.get(ask.arrival.class).copied().unwrap_or(false);
         let open = Open { trace: ask.trace, safe, attempts: 0, out: None, streaming: false, over: false };
         self.open.insert(id, open);
-        self.events.push_back(Event::Arrived(Arrival {
-            id,
-            class: ask.class,
-            tenant: ask.tenant,
-            session: ask.session,
-            prefix: ask.prefix,
-            time_left: ask.time_left,
-            hint: ask.hint,
-            prompt: ask.prompt,
-            shared: ask.shared,
-            max_out: ask.max_out,
-            repeat: ask.repeat,
-            returned: ask.returned,
-        }));
+        self.events.push_back(Event::Arrived(Arrival { id, ..ask.arrival }));
     }
 
     fn first(&mut self, now: Time, id: ReqId, attempt: u32) {
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -45,17 +45,18 @@
 fn a_request_becomes_what_the_module_is_told() {
     let head = head(GOOD);
     assert_eq!(ask::wanted(&head), Ok(Wanted::Chat));
-    let ask = Ask::read(&head, 2, &names()).unwrap();
-    assert_eq!((&*ask.trace, ask.class, ask.time_left, ask.hint), ("9b1f03aa", 1, 4_800_000, 90_000));
+    let read = Ask::read(&head, 2, &names()).unwrap();
+    let ask = read.arrival;
+    assert_eq!((&*read.trace, ask.class, ask.time_left, ask.hint), ("9b1f03aa", 1, 4_800_000, 90_000));
     assert_eq!((ask.prompt, ask.shared, ask.max_out), (5120.0, 2048.0, 800.0));
     assert_eq!(ask.session.unwrap().0.as_ref(), "talk-1");
     assert_eq!(ask.prefix.unwrap().0.as_ref(), "opening-1");
     assert!(!ask.repeat && !ask.returned);
-    assert!(changed("X-Size-Hint: 90000", "X-Second-Try: again").unwrap().returned);
-    assert!(changed("X-Size-Hint: 90000", "X-Second-Try: 1").unwrap().repeat);
+    assert!(changed("X-Size-Hint: 90000", "X-Second-Try: again").unwrap().arrival.returned);
+    assert!(changed("X-Size-Hint: 90000", "X-Second-Try: 1").unwrap().arrival.repeat);
     // Where clients tell no lengths, the body's own is taken: four characters a token.
     let bare = GOOD.split("\nX-Props").next().unwrap();
-    assert_eq!(Ask::read(&self::head(bare), 400, &names()).unwrap().prompt, 100.0);
+    assert_eq!(Ask::read(&self::head(bare), 400, &names()).unwrap().arrival.prompt, 100.0);
 }
 
 #[test]
@@ -79,7 +80,7 @@
         assert_eq!((refusal.status(), &refusal), (400, &why), "{from:?} -> {to:?}");
     }
     // A deadline beyond what any client waits is held to that.
-    assert_eq!(changed("4800", "99999999999").unwrap().time_left, 12_000_000);
+    assert_eq!(changed("4800", "99999999999").unwrap().arrival.time_left, 12_000_000);
 }
 
 #[test]
--- a/crates/platform/tests/hub.rs
+++ b/crates/platform/tests/hub.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use elderstage::{Entry, Listed, Outcome, ReqId, ServerId, Settings, Time, example_settings};
+use elderstage::{Arrival, Entry, Listed, Outcome, ReqId, ServerId, Settings, Time, example_settings};
 use elderstage_platform::ask::Ask;
 use elderstage_platform::hub::{Command, Hub, Input, Last};
 use elderstage_platform::list::{Host, List};
@@ -25,8 +25,8 @@
 }
 
 fn ask(trace: &str) -> Ask {
-    Ask {
-        trace: trace.into(),
+    let arrival = Arrival {
+        id: ReqId(0),
         class: 0,
         tenant: 0,
         session: None,
@@ -38,7 +38,8 @@
         max_out: 100.0,
         repeat: false,
         returned: false,
-    }
+    };
+    Ask { trace: trace.into(), arrival }
 }
 
 impl World {
@@ -249,9 +250,9 @@
 #[test]
 fn streams_are_moved_when_the_node_ends() {
     let mut world = World::with(Settings { resume: true, ..example_settings() });
-    let (attempt, _) =
-        sent(&world.tell(Input::Arrived { id: ReqId(1), ask: Ask { hint: 60_000 * MS, ..ask("a") } }))
-            .unwrap();
+    let mut long = ask("a");
+    long.arrival.hint = 60_000 * MS;
+    let (attempt, _) = sent(&world.tell(Input::Arrived { id: ReqId(1), ask: long })).unwrap();
     world.end(1, attempt, Outcome::Read);
     world.tell(Input::First { id: ReqId(1), attempt: 1 });
     world.tell(Input::Stopping { within: 2_000 * MS });
--- a/crates/standin/src/platform/engine.rs
+++ b/crates/standin/src/platform/engine.rs
@@ -114,16 +114,24 @@
             return Doing::write(stream, 400, &[], b"");
         }
         let expires_ms = head.headers.get("x-expires-in-ms").and_then(|text| text.parse().ok());
-        let begun = Pass::Begun { trace: trace.clone(), connection: number, body: body.len(), expires_ms };
+        let second = self.traffic.begin(&trace, number, stream);
+        let begun =
+            Pass::Begun { trace: trace.clone(), connection: number, body: body.len(), expires_ms, second };
         self.traffic.note(&self.name, self.role, begun);
         let nth = self.traffic.count(&trace, self.role);
-        let (how, good) = self.act(stream, &trace, nth);
+        let (how, good) = self.act(stream, number, &trace, nth);
+        self.traffic.end(&trace, number);
         self.traffic.note(&self.name, self.role, Pass::Ended { trace, connection: number, how });
         good
     }
 
     /// What the id asks for. A case that ends in `-first` is met by the first attempt only.
-    fn act(&self, stream: &mut TcpStream, trace: &str, nth: u32) -> (How, bool) {
+    fn act(&self, stream: &mut TcpStream, number: u64, trace: &str, nth: u32) -> (How, bool) {
+        // It is over before its last byte goes: the peer may send the next before this thread goes on.
+        let last = |stream: &mut TcpStream, status: u16, headers: &[(&str, &str)], body: &[u8]| {
+            self.traffic.end(trace, number);
+            Doing::write(stream, status, headers, body)
+        };
         let case = trace.rsplit_once('-').map_or(trace, |(case, _)| case);
         let case = match case.strip_suffix("-first") {
             Some(case) if nth == 1 => case,
@@ -132,8 +140,8 @@
         };
         if self.role == Role::Reader {
             return match case {
-                "reader-500" => (How::MayHaveRun, Doing::write(stream, 500, &[], b"")),
-                "reader-full" => (How::NeverRan, Doing::write(stream, 503, &[("x-never-ran", "1")], b"")),
+                "reader-500" => (How::MayHaveRun, last(stream, 500, &[], b"")),
+                "reader-full" => (How::NeverRan, last(stream, 503, &[("x-never-ran", "1")], b"")),
                 // The read ends well as its connection breaks: its state is held all the same.
                 "reader-breaks" => {
                     self.traffic.hold(&self.name, trace);
@@ -145,16 +153,16 @@
                 }
                 _ => {
                     self.traffic.hold(&self.name, trace);
-                    (How::Read, Doing::write(stream, 202, &[], b"{\"cached_tokens\":96}"))
+                    (How::Read, last(stream, 202, &[], b"{\"cached_tokens\":96}"))
                 }
             };
         }
         match case {
-            "writer-500" => return (How::MayHaveRun, Doing::write(stream, 500, &[], b"oops")),
-            "writer-full" => return (How::NeverRan, Doing::write(stream, 503, &[("x-never-ran", "1")], b"")),
-            "writer-gone" => return (How::NeverRan, Doing::write(stream, 410, &[("x-never-ran", "1")], b"")),
+            "writer-500" => return (How::MayHaveRun, last(stream, 500, &[], b"oops")),
+            "writer-full" => return (How::NeverRan, last(stream, 503, &[("x-never-ran", "1")], b"")),
+            "writer-gone" => return (How::NeverRan, last(stream, 410, &[("x-never-ran", "1")], b"")),
             "writer-503" => {
-                return (How::MayHaveRun, Doing::write(stream, 503, &[("retry-after", "0.2")], b""));
+                return (How::MayHaveRun, last(stream, 503, &[("retry-after", "0.2")], b""));
             }
             "writer-breaks" => return (How::MayHaveRun, false),
             "writer-silent" => return (How::MayHaveRun, wait_for_close(stream)),
@@ -202,6 +210,7 @@
         if case == "more-answer" {
             http::write_response(200, &[], b"{\"of\":\"nobody\"}", true, &mut out);
         }
+        self.traffic.end(trace, number);
         let sent = stream.write_all(&out).is_ok();
         (if sent { How::Served } else { How::MayHaveRun }, sent)
     }
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -7,11 +7,13 @@
 mod engine;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use socket2::SockRef;
 
 pub use discovery::Discovery;
 pub use engine::{Engine, Role, whole_answer};
@@ -19,12 +21,14 @@
 /// One thing that passed at an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Pass {
-    /// The last byte of a request has come.
+    /// The last byte of a request has come. `second`: another one of the same request is out on a connection that is
+    /// still open.
     Begun {
         trace: String,
         connection: u64,
         body: usize,
         expires_ms: Option<u64>,
+        second: bool,
     },
     /// Its answer went out whole, was spoilt, or its connection ended.
     Ended {
@@ -63,6 +67,14 @@
     pub pass: Pass,
 }
 
+/// Linux's flags for a look that takes nothing and does not wait.
+const PEEK_NOW: i32 = 0x02 | 0x40;
+
+fn is_open(stream: &TcpStream) -> bool {
+    let looked = SockRef::from(stream).recv_with_flags(&mut [MaybeUninit::uninit()], PEEK_NOW);
+    looked.map_or_else(|error| error.kind() == std::io::ErrorKind::WouldBlock, |n| n > 0)
+}
+
 /// What the engines hold and have seen, shared by all of them.
 #[derive(Clone, Default)]
 pub struct Traffic(Arc<Mutex<Inner>>);
@@ -72,6 +84,8 @@
     seen: Vec<Seen>,
     /// Requests whose read state waits, by reader.
     held: BTreeMap<String, BTreeSet<String>>,
+    /// Connections that carry a request, by its id.
+    out: BTreeMap<String, Vec<(u64, TcpStream)>>,
     /// How often each id was asked for, over all engines.
     asked: BTreeMap<String, u32>,
 }
@@ -85,6 +99,25 @@
         self.inner().seen.push(Seen { at: Instant::now(), engine: engine.to_owned(), role, pass });
     }
 
+    /// A request begins on a connection; tells whether it is out on another one that is still open. A peer's close is
+    /// seen on the socket itself: the thread that serves it may not have come to it yet.
+    fn begin(&self, trace: &str, connection: u64, stream: &TcpStream) -> bool {
+        let mut inner = self.inner();
+        let out = inner.out.entry(trace.to_owned()).or_default();
+        let second = out.iter().any(|(_, other)| is_open(other));
+        if let Ok(stream) = stream.try_clone() {
+            out.push((connection, stream));
+        }
+        second
+    }
+
+    fn end(&self, trace: &str, connection: u64) {
+        let mut inner = self.inner();
+        if let Some(out) = inner.out.get_mut(trace) {
+            out.retain(|(of, _)| *of != connection);
+        }
+    }
+
     fn hold(&self, engine: &str, trace: &str) {
         self.inner().held.entry(trace.to_owned()).or_default().insert(engine.to_owned());
     }
@@ -123,22 +156,18 @@
     /// What the engines saw against the rules: two attempts of one request out together, or one sent again after it
     /// may have run where it may not be repeated. `once` tells that of an id.
     pub fn judge(&self, once: impl Fn(&str) -> bool) -> Vec<String> {
-        let (mut out, mut ran, mut broken) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
+        let (mut ran, mut broken) = (BTreeSet::new(), Vec::new());
         for seen in self.seen() {
             match seen.pass {
-                Pass::Begun { trace, connection, .. } => {
-                    if let Some(other) = out.insert(trace.clone(), connection) {
-                        broken
-                            .push(format!("{trace}: on connection {connection} while it is out on {other}"));
+                Pass::Begun { trace, connection, second, .. } => {
+                    if second {
+                        broken.push(format!("{trace}: on connection {connection} while another is out"));
                     }
                     if once(&trace) && ran.contains(&trace) {
                         broken.push(format!("{trace}: sent again after it may have run"));
                     }
                 }
-                Pass::Ended { trace, connection, how } => {
-                    if out.get(&trace) == Some(&connection) {
-                        out.remove(&trace);
-                    }
+                Pass::Ended { trace, how, .. } => {
                     // However an attempt at a reader ends, it has had no effect.
                     if seen.role == Role::Writer && matches!(how, How::Served | How::MayHaveRun) {
                         ran.insert(trace);
