--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,9 +13,12 @@
 const PACE_MOST: f64 = 20.0;
 /// Weight of one answer in a server's own pace (it shows within a few), and of an arrival in their gap.
 const PACE_STEP: f64 = 0.3;
-/// An attempt is given up after this many predicted times, at least after the share of the aim below.
+/// An attempt is given up after this many predicted times, at least after the share of the aim below, or at
+/// fronts that see little, after whole aims. Their few answers teach too low times: guards against reads that
+/// are begun anew elsewhere while the first reader, only crowded, reads on.
 const GIVE_UP: f64 = 4.0;
 const GIVE_UP_AIM: f64 = 0.5;
+const GIVE_UP_AIMS: f64 = 2.0;
 /// Memory mark: no read is begun when all writers hold more; the rest is room for answers to grow.
 const MARK: f64 = 0.85;
 /// Memory mark of rule 3: a fuller writer's streams run too near their aim to wait for a read.
@@ -555,6 +558,11 @@
         view.entry.listed == Listed::Running && Self::suspect(view, class).is_none_or(trial)
     }
 
+    /// Whether our own requests meet too few of the servers for our own answers to tell how those do.
+    fn sparse(&self) -> bool {
+        PROVEN * self.least_aim() < self.gap * self.views.len() as f64
+    }
+
     /// Where several servers of a role fail this class, those that have not lately answered it come last:
     /// guards against failures that each front meets at one server after the other.
     fn wary(&self, reads: bool, class: usize, now: Time) -> impl Fn(&View) -> bool + use<> {
@@ -815,6 +823,8 @@
         // Readers by their read; near times go by a hash of session and server, weighted by what all fronts
         // see alike: the writers of its cell, so that few states leave it. Lagging reports order nothing:
         // guards against herds, and against sessions read anew elsewhere (seven times the work).
+        // Where few are asked, a cold reader that is drawn comes first: guards against a draw thinned twice,
+        // which left new readers cold beside jammed ones.
         let wary = self.wary(true, ask.class, now);
         let text = ask.prefix.as_ref().filter(|_| ask.shared > SHARED * ask.prompt);
         let homes = HOMES / self.readers.values().sum::<f64>().max(1.0);
@@ -829,7 +839,7 @@
                 if near.contains(cell) { (Kind::Near, 0.0) } else { (Kind::Far, self.jam(Some(*cell), now)) };
             let time = read(view, Kind::Read) + self.fits[kind as usize].at(ask.prompt).max(jam);
             let times = if self.may_ask { 0.0 } else { time * TIE / request.aim.max(1.0) };
-            (wary(view), away, times.round() as u64, home)
+            (wary(view), self.may_ask && !self.cold(view, now), away, times.round() as u64, home)
         };
         readers.sort_by_cached_key(rank);
         // Rule 1: an idle reader. What an old report calls idle draws all fronts: guards against herds there.
@@ -986,8 +996,9 @@
             request.ask.max_out * ANSWER
         };
         let effect = kind != Kind::Read && class.is_none_or(|class| class.repeat == Repeat::Unsafe);
+        let aims = if self.sparse() { GIVE_UP_AIMS } else { GIVE_UP_AIM };
         let patience =
-            (GIVE_UP * time).max(GIVE_UP_AIM * request.aim) * f64::from(1u32 << request.tries.min(DOUBLINGS));
+            (GIVE_UP * time).max(aims * request.aim) * f64::from(1u32 << request.tries.min(DOUBLINGS));
         let left = request.deadline - now;
         let timeout = if effect { left } else { left.min(patience as Time).max(1) };
         let from = request.state.as_ref().and_then(|(at, _)| Some(self.views.get(at)?.entry.cell));
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1013,3 +1013,69 @@
     assert_eq!((sent_to(&actions), final_answers(&actions, 1)), (None, 1), "no more tries: {actions:?}");
     assert_eq!(sent_to(&bench.arrive(2, 800.0)), None, "nobody reads any more");
 }
+
+// ---- What goes wrong only with many fronts that each see little ----
+
+/// A fleet's front: 24 readers and two writers, a request each 1.3 s.
+fn sparse(me: u32) -> (Bench, Vec<String>) {
+    let names: Vec<String> = (0..24).map(|n| format!("r1{n}")).chain(["w1".into(), "w2".into()]).collect();
+    let mut bench = one_of_many(me, &names.iter().map(String::as_str).collect::<Vec<_>>());
+    for id in 9_000..9_006 {
+        let reader = bench.read_told(&names, id, format!("s{id}")).unwrap();
+        bench.served(id, &reader);
+        bench.now += 1_300 * MS;
+    }
+    (bench, names)
+}
+
+impl Bench {
+    /// Where a session's read goes when all servers tell that nothing waits there.
+    fn read_told(&mut self, names: &[String], id: u32, session: String) -> Option<String> {
+        names.iter().for_each(|name| drop(self.told(name, 0.1, 0.0)));
+        sent_to(&self.of_texts(id, session, None, 1_000.0))
+    }
+
+    /// The read ends well, and a writer answers.
+    fn served(&mut self, id: u32, reader: &str) {
+        let writer = sent_to(&self.end(id, 0, reader, Outcome::Read, 0)).unwrap();
+        self.first(id, 1, &writer);
+        self.end(id, 1, &writer, Outcome::Served, 0);
+    }
+}
+
+/// Given up at half of its aim, a read at a crowded reader was begun anew at the next, while the first read on.
+#[test]
+fn a_front_that_sees_little_waits_for_a_read_past_its_aim() {
+    let timeout = |bench: &mut Bench| {
+        let actions = bench.of_texts(1, "one".into(), None, 1_000.0);
+        actions.iter().find_map(|a| if let Action::Send { timeout, .. } = a { Some(*timeout) } else { None })
+    };
+    let (mut bench, names) = sparse(0);
+    names.iter().for_each(|name| drop(bench.told(name, 0.1, 0.0)));
+    let aim = example_settings().classes[0].ttft_aim;
+    assert!(timeout(&mut bench).unwrap() >= aim);
+    let mut busy = Bench::new(&["r1", "r2", "w1"]);
+    busy.teach();
+    assert!(timeout(&mut busy).unwrap() < aim, "where its own answers tell, it does not wait for a slow one");
+}
+
+/// A new reader's draw came up, and it was then passed over for being far down the order of 24 others.
+#[test]
+fn a_cold_reader_whose_draw_comes_up_is_used_among_many_and_within_its_limit() {
+    let (mut cold, mut all) = (0, 0);
+    for me in 0..40 {
+        let (mut bench, mut names) = sparse(me);
+        names.push("r1new".into());
+        bench.list(ListMode::Changes, vec![entry("r1new", Listed::Running, bench.now)]);
+        for id in 0..12 {
+            let id = me * 1_000 + id;
+            let reader = bench.read_told(&names, id, format!("s{id}")).unwrap();
+            (all, cold) = (all + 1, cold + u32::from(reader == "r1new"));
+            bench.served(id, &reader);
+            bench.now += 20 * MS;
+        }
+    }
+    // The limit of the rule is 3 x 0.3 of what one of 24 warm readers takes.
+    let limit = 0.9 * f64::from(all) / 24.0;
+    assert!((0.3 * limit..=limit).contains(&f64::from(cold)), "{cold} of {all}");
+}
