Conversations wait for their home reader; cold writers drawn by their cell

Of writers, cold ones got next to no states: the chance was reckoned among all 66, but a state has only the 3 or 4 of its cell, and the drawn one then had to tell fewer tokens than the others.

Change: a request with a session is decided by the first reader that tells its load, which is its home; one that does not answer is passed over. A cold writer's chance is the geometric mean of its parts of its cell and of all, and it comes first in its own cell where drawn. A prompt of more than fall_multiple times the usual goes to no cold server.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,9 +13,8 @@
 const PACE_MOST: f64 = 20.0;
 /// Weight of one answer in a server's own pace (it shows within a few), and of an arrival in their gap.
 const PACE_STEP: f64 = 0.3;
-/// An attempt is given up after this many predicted times, at least after the share of the aim below, or at
-/// fronts that see little, after whole aims. Their few answers teach too low times: guards against reads that
-/// are begun anew elsewhere while the first reader, only crowded, reads on.
+/// An attempt is given up after this many predicted times, at least after this share of the aim, or whole
+/// aims at fronts that see little: guards against reads begun anew while a crowded reader reads on.
 const GIVE_UP: f64 = 4.0;
 const GIVE_UP_AIM: f64 = 0.5;
 const GIVE_UP_AIMS: f64 = 2.0;
@@ -59,9 +58,8 @@
 const MISSES: u32 = 8;
 /// Read times within the TTFT aim over this are a tie.
 const TIE: f64 = 20.0;
-/// Reports are held to be so old in what they tell, in shortest TTFT aims, however lately they came.
-const LAG: f64 = 1.0;
-/// Share of the lag, or of a client's shorter time, that a predicted end leaves free for unseen queues.
+/// Reports are held to tell what was one shortest TTFT aim ago, however lately they came: the share of that
+/// lag, or of a client's shorter time, that a predicted end leaves free for unseen queues.
 const BLIND: f64 = 0.5;
 /// A text shared by more than this share of a prompt is kept at about so many readers, not at all of them.
 const SHARED: f64 = 0.5;
@@ -70,7 +68,8 @@
 const FOUND: f64 = 0.5;
 /// Reads by others since a report's content from which it is no evidence that a reader is idle.
 const CROWD: f64 = 1.0;
-/// Servers asked in turn for their load before a rule counts as not met; writers asked while a reader reads.
+/// Servers that tell their load before a rule counts as not met, only one where a text has its home: the next
+/// reads it anew, which costs all more than it gains this one. Writers asked while a reader reads.
 const PROBES: usize = 3;
 const PROBES_NEAR: usize = 2;
 /// Shares of the shortest TTFT aim that a report of waiting work is news for, and a probe may take.
@@ -278,11 +277,14 @@
     /// Mean time between our requests, and when the last one came.
     gap: f64,
     came: Time,
-    /// Tokens that writers report lately: stands for those that have not reported.
+    /// Tokens that writers report lately: stands for those that have not reported. Mean logarithm of prompts.
     usual_tokens: f64,
+    usual_prompt: f64,
     /// Weight of the running readers, and of the writers and mixed servers, by cell.
     readers: BTreeMap<u32, f64>,
     writers: BTreeMap<u32, f64>,
+    /// The most weight of writers and mixed servers seen at once, by cell.
+    paired: BTreeMap<u32, f64>,
     /// Servers can be asked for their load.
     may_ask: bool,
     armed: bool,
@@ -307,8 +309,10 @@
             gap: 0.0,
             came: 0,
             usual_tokens: 0.0,
+            usual_prompt: 0.0,
             readers: BTreeMap::new(),
             writers: BTreeMap::new(),
+            paired: BTreeMap::new(),
             armed: false,
             asked: None,
             stop: None,
@@ -421,6 +425,9 @@
             }
         }
         (self.readers, self.writers) = (readers, writers);
+        for (cell, now) in &self.writers {
+            self.paired.entry(*cell).and_modify(|most| *most = most.max(*now)).or_insert(*now);
+        }
         for (most, warm) in self.warm.iter_mut().zip(warm) {
             *most = most.max(warm);
         }
@@ -466,35 +473,37 @@
 
     /// Whether a server's own report, or where none is to be had our sends, tell what waits there now.
     fn fresh(&self, view: &View, now: Time) -> bool {
-        let span = (FRESH * self.least_aim()) as Time;
-        !self.may_ask || view.report.is_some_and(|(_, _, at)| now <= at + span)
+        !self.may_ask || view.report.is_some_and(|(_, _, at)| now <= at + (FRESH * self.least_aim()) as Time)
     }
 
     /// Prompt tokens ahead of a new read: as reported, and ours, which a report lags behind.
     fn ahead(&self, view: &View, now: Time) -> f64 {
-        let reported = view
-            .report
-            .filter(|_| self.may_ask && self.fresh(view, now))
-            .map_or(0.0, |(_, waiting, _)| waiting);
-        reported + view.waiting().map(|job| job.unread).sum::<f64>()
+        let report = view.report.filter(|_| self.may_ask && self.fresh(view, now));
+        report.map_or(0.0, |(_, waiting, _)| waiting) + view.waiting().map(|job| job.unread).sum::<f64>()
     }
 
     /// Reads that the other fronts, if they are like us, have sent to a reader since its report's content.
     fn others(&self) -> f64 {
         let readers = self.readers.values().sum::<f64>().max(1.0);
-        let each = if self.gap > 0.0 && self.may_ask { LAG * self.least_aim() / self.gap } else { 0.0 };
+        let each = if self.gap > 0.0 && self.may_ask { self.least_aim() / self.gap } else { 0.0 };
         each * f64::from(self.set.fronts - 1) / readers
     }
 
     /// The first of these servers that takes a read, each asked for its load before it is passed over. No
-    /// answer counts as busy: guards against fronts that see an idle fleet because they have nothing out.
-    fn first_of(&self, now: Time, servers: &[&View], takes: impl Fn(&View) -> bool) -> Step {
+    /// answer counts as busy: guards against fronts that see an idle fleet because they have nothing out. It
+    /// leaves the next its turn: guards against a home that has fallen silent.
+    fn first_of(&self, now: Time, ask: &Arrival, of: &[&View], takes: impl Fn(&View) -> bool) -> Step {
         let wait = (PROBE_WAIT * self.least_aim()) as Time;
-        for view in servers.iter().take(if self.may_ask { PROBES } else { servers.len() }) {
+        let (mut told, most) = (0, if ask.session.is_some() { 1 } else { PROBES });
+        for view in of {
+            if self.may_ask && told >= most {
+                break;
+            }
             if self.fresh(view, now) {
                 if takes(view) {
                     return Step::Take(view.entry.server.clone());
                 }
+                told += 1;
             } else if now >= view.probed + (FRESH * self.least_aim()) as Time {
                 return Step::Ask(Some(view.entry.server.clone()));
             } else if now < view.probed + wait {
@@ -546,10 +555,8 @@
     /// Suspected for a class: it failed for it, or for another one since it last answered this one.
     fn suspect(view: &View, class: usize) -> Option<&Health> {
         let answered = view.health.get(&class).map_or(0, |health| health.answered);
-        view.health
-            .values()
-            .filter(|health| health.strikes > 0 && health.struck >= answered)
-            .max_by_key(|h| h.until)
+        let since = |health: &&Health| health.strikes > 0 && health.struck >= answered;
+        view.health.values().filter(since).max_by_key(|h| h.until)
     }
 
     /// Running, not suspected, or a suspect whose time for one trial has come.
@@ -625,9 +632,9 @@
             *level += if over { 0.0 } else { 1.0 };
             over
         });
-        if self.came > 0 {
-            self.gap += PACE_STEP * ((now - self.came) as f64 - self.gap);
-        }
+        let (step, since) = if self.came > 0 { (PACE_STEP, now - self.came) } else { (1.0, 0) };
+        self.usual_prompt += step * (ask.prompt.max(1.0).ln() - self.usual_prompt);
+        self.gap += step * (since as f64 - self.gap);
         self.came = now;
         let id = ask.id;
         let request =
@@ -686,9 +693,8 @@
                 self.strike(server, class, now);
                 // What ran out of time took at least so long: guards against slow servers and jammed links
                 // that would look quick, since only answers taught, and against time-outs too short for all.
-                if let Some(job) =
-                    job.as_ref().filter(|job| outcome == Outcome::TimedOut || job.kind == Kind::Far)
-                {
+                let took = |job: &&Job| outcome == Outcome::TimedOut || job.kind == Kind::Far;
+                if let Some(job) = job.as_ref().filter(took) {
                     self.learn(server, job.kind, job.x, (now - job.sent) as f64);
                 }
             }
@@ -715,7 +721,7 @@
         match &request.out {
             None => self.finish(now, id, out),
             Some((_, attempt)) if self.set.may_cancel => out.push(Action::Cancel { id, attempt: *attempt }),
-            Some(_) => {}
+            _ => {}
         }
     }
 
@@ -756,8 +762,7 @@
             Some(if at < now { Time::MAX } else { at }).filter(|at| *at > end)
         };
         let cut = self.requests.iter().filter(|(_, request)| request.streaming && !request.ended);
-        let cut = cut.filter_map(|(id, request)| Some((ends(id, request)?, *id)));
-        let cut: Vec<(Time, ReqId)> = cut.collect();
+        let cut: Vec<_> = cut.filter_map(|(id, request)| Some((ends(id, request)?, *id))).collect();
         let Some((_, id)) = cut.iter().max() else { return };
         self.stop = Some((now + last.saturating_sub(now) / cut.len() as Time, last, end));
         if let Some(request) = self.requests.get_mut(id) {
@@ -785,8 +790,7 @@
         queue.sort_unstable();
         let mut misses = 0;
         for (_, _, _, _, id) in queue {
-            let has_state = self.requests.get(&id).is_some_and(|request| request.state.is_some());
-            let sent = if has_state {
+            let sent = if self.requests.get(&id).is_some_and(|request| request.state.is_some()) {
                 self.hand_over(now, id, out)
             } else {
                 match self.place(now, id) {
@@ -822,9 +826,8 @@
         readers.retain(|_| !room.is_empty() && request.tries + 1 < self.set.most_tries);
         // Readers by their read; near times go by a hash of session and server, weighted by what all fronts
         // see alike: the writers of its cell, so that few states leave it. Lagging reports order nothing:
-        // guards against herds, and against sessions read anew elsewhere (seven times the work).
-        // Where few are asked, a cold reader that is drawn comes first: guards against a draw thinned twice,
-        // which left new readers cold beside jammed ones.
+        // guards against herds, and sessions read anew elsewhere (seven times the work). Where few are asked,
+        // a cold reader that is drawn comes first: guards against a draw thinned twice.
         let wary = self.wary(true, ask.class, now);
         let text = ask.prefix.as_ref().filter(|_| ask.shared > SHARED * ask.prompt);
         let homes = HOMES / self.readers.values().sum::<f64>().max(1.0);
@@ -845,10 +848,9 @@
         // Rule 1: an idle reader. What an old report calls idle draws all fronts: guards against herds there.
         let crowd = self.others() >= CROWD;
         let idle = |v: &View| !crowd && v.jobs.is_empty() && self.ahead(v, now) < LEAST_READ;
-        // Rule 2: a running reader with nothing waiting that will be on time. A predicted end that has
-        // passed is no evidence of that.
-        // It must leave time for what other fronts sent since the report was true.
-        let blind = if self.may_ask { BLIND * left.min(LAG * self.least_aim()) } else { 0.0 };
+        // Rule 2: a running reader with nothing waiting that will be on time. No predicted end has passed,
+        // and time is left for what other fronts sent since the report was true.
+        let blind = if self.may_ask { BLIND * left.min(self.least_aim()) } else { 0.0 };
         let on_time = |v: &View| {
             v.jobs.len() <= 1
                 && (!request.late(now) || self.ahead(v, now) < LEAST_READ)
@@ -867,12 +869,12 @@
         let room = room.into_iter().filter(|v| v.role == Role::Mixed || self.set.writers_read);
         let mut absorbers: Vec<&View> = room.filter(absorbs).collect();
         absorbers.sort_by_cached_key(|v| (v.role != Role::Mixed, hash(&v.entry.server.0, &salt)));
-        let step = match self.first_of(now, &readers, idle) {
-            Step::Next => self.first_of(now, &readers, on_time),
+        let step = match self.first_of(now, ask, &readers, idle) {
+            Step::Next => self.first_of(now, ask, &readers, on_time),
             step => step,
         };
         match step {
-            Step::Next => (self.first_of(now, &absorbers, |_| true), Kind::Whole),
+            Step::Next => (self.first_of(now, ask, &absorbers, |_| true), Kind::Whole),
             step => (step, Kind::Read),
         }
     }
@@ -895,7 +897,7 @@
         let (salt, spacing) = (self.random().to_string(), (FRESH * self.least_aim()) as Time);
         let near = self.views.values().filter(|v| v.role != Role::Prefill && v.entry.cell == cell);
         let near = near.filter(|v| v.entry.listed == Listed::Running && now >= v.probed + spacing);
-        let mut near: Vec<ServerId> = near.map(|v| v.entry.server.clone()).collect();
+        let mut near: Vec<_> = near.map(|v| v.entry.server.clone()).collect();
         near.sort_by_cached_key(|server| hash(&server.0, &salt));
         for server in near.iter().take(PROBES_NEAR) {
             self.ask(now, server, out);
@@ -916,20 +918,18 @@
         let key = |view: &View| {
             let far = hand_kind(view, cell) == Kind::Far;
             let tokens = self.held_tokens(view, now);
-            let handicaps = FAR_HANDICAP * f64::from(u32::from(far) + u32::from(wary(view)));
-            let handicap = handicaps * (request.ask.prompt + tokens);
+            let poor = f64::from(u32::from(far) + u32::from(wary(view)));
+            let handicap = FAR_HANDICAP * poor * (request.ask.prompt + tokens);
             let time = self.predict(view, hand_kind(view, cell), request.ask.prompt, now);
             let late = time.max(view.oldest(now)).max(if far { jam } else { 0.0 }) > left;
-            let class = request.ask.class;
-            let suspect = Self::suspect(view, class).is_some();
-            let poor = u32::from(!Self::well(view, class, now)) + u32::from(suspect);
+            let suspect = Self::suspect(view, request.ask.class).is_some();
+            let poor = u32::from(!Self::well(view, request.ask.class, now)) + u32::from(suspect);
             let full = u32::from(self.memory(view, now) >= MARK) + u32::from(late);
-            (poor, full, (tokens + handicap) as u64, hash(&view.entry.server.0, &salt))
-        };
-        let best = candidates.min_by_key(|v| key(v));
-        let Some((server, kind)) = best.map(|v| (v.entry.server.clone(), hand_kind(v, cell))) else {
-            return false;
+            let warm = self.may_ask && (far || !self.cold(view, now));
+            (poor, full, warm, (tokens + handicap) as u64, hash(&view.entry.server.0, &salt))
         };
+        let Some(best) = candidates.min_by_key(|v| key(v)) else { return false };
+        let (server, kind) = (best.entry.server.clone(), hand_kind(best, cell));
         self.send(now, id, &server, kind, out)
     }
 
@@ -966,16 +966,22 @@
     }
 
     /// Guards a server that has just started: an attempt may go there by a chance, so that any number of
-    /// fronts together send it a part of what a warm server of its size answers.
+    /// fronts together send it a part of what a warm server of its size answers. A state has only the writers
+    /// of its cell, which may have far more than its part: the mean of both. No prompt alone makes it fall.
     fn cold_turn(&self, view: &View, request: &Request, now: Time) -> bool {
         if !self.cold(view, now) {
             return true;
         }
         let (sent, answered) = self.flow[view.role as usize];
-        let even = view.entry.weight / self.warm[view.role as usize].max(view.entry.weight);
+        let from = request.state.as_ref().and_then(|(at, _)| Some(self.views.get(at)?.entry.cell));
+        let even = |of: f64| view.entry.weight / of.max(view.entry.weight);
+        let all = even(from.map_or(self.warm[view.role as usize], |_| self.paired.values().sum()));
+        let cell = self.paired.get(&view.entry.cell).filter(|_| from == Some(view.entry.cell));
+        let near = cell.map_or(all, |cell| even(*cell));
         let able = self.set.fall_multiple * self.set.cold_from * (answered + 1.0) / (sent + 1.0);
         let draw = hash(&view.entry.server.0, &format!("{} {}", request.ask.id.0, request.tries));
-        unit(draw) <= COLD_USE * able * even
+        let fits = request.ask.prompt <= self.set.fall_multiple * self.usual_prompt.exp();
+        fits && unit(draw) <= COLD_USE * able * (all * near).sqrt()
     }
 
     fn send(&mut self, now: Time, id: ReqId, server: &ServerId, kind: Kind, out: &mut Vec<Action>) -> bool {
@@ -996,9 +1002,8 @@
             request.ask.max_out * ANSWER
         };
         let effect = kind != Kind::Read && class.is_none_or(|class| class.repeat == Repeat::Unsafe);
-        let aims = if self.sparse() { GIVE_UP_AIMS } else { GIVE_UP_AIM };
-        let patience =
-            (GIVE_UP * time).max(aims * request.aim) * f64::from(1u32 << request.tries.min(DOUBLINGS));
+        let least = request.aim * if self.sparse() { GIVE_UP_AIMS } else { GIVE_UP_AIM };
+        let patience = (GIVE_UP * time).max(least) * f64::from(1u32 << request.tries.min(DOUBLINGS));
         let left = request.deadline - now;
         let timeout = if effect { left } else { left.min(patience as Time).max(1) };
         let from = request.state.as_ref().and_then(|(at, _)| Some(self.views.get(at)?.entry.cell));
@@ -1045,8 +1050,8 @@
         };
         if harmless {
             let share = ADVICE + (1.0 - ADVICE) * self.random();
-            let retry_after =
-                if self.set.may_advise { (share * self.set.max_retry_after as f64) as Time } else { 0 };
+            let longest = if self.set.may_advise { self.set.max_retry_after } else { 0 };
+            let retry_after = (share * longest as f64) as Time;
             out.push(Action::Refuse { id, retry_after });
         } else {
             out.push(Action::Fail { id });
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1079,3 +1079,88 @@
     let limit = 0.9 * f64::from(all) / 24.0;
     assert!((0.3 * limit..=limit).contains(&f64::from(cold)), "{cold} of {all}");
 }
+
+/// A conversation left its home for any reader that told less, and was read there anew: with that the work of
+/// all readers rose threefold and stayed so. A home that says nothing is left.
+#[test]
+fn a_conversation_waits_for_its_home_unless_that_has_fallen_silent() {
+    let (mut bench, names) = sparse(7);
+    let home = bench.read_told(&names, 1, "talk".into()).unwrap();
+    bench.served(1, &home);
+    bench.now += 1_300 * MS;
+    names.iter().for_each(|name| drop(bench.told(name, 0.1, if *name == home { 90.0 } else { 0.0 })));
+    let to = sent_to(&bench.of_texts(2, "talk".into(), None, 1_000.0));
+    assert!(to.is_none_or(|to| to.starts_with('w')), "no other reader");
+    bench.wait(1_500 * MS);
+    bench.of_texts(3, "talk".into(), None, 1_000.0);
+    bench.wait(80 * MS);
+    let others = names.iter().filter(|name| **name != home);
+    let to = others.filter_map(|name| sent_to(&bench.told(name, 0.1, 0.0))).next();
+    assert!(to.is_some_and(|to| to.starts_with('r')), "the home has not answered");
+}
+
+/// A chance reckoned among all writers, where a state has only those of its cell, left new writers cold.
+#[test]
+fn a_cold_writer_gets_its_part_of_the_states_of_its_cell() {
+    let mut names: Vec<String> = (0..10).flat_map(|c| ["a", "b"].map(|n| format!("w{c}{n}"))).collect();
+    names.push("r1".into());
+    let (mut cold, mut all) = (0, 0);
+    for me in 0..40 {
+        let mut bench = one_of_many(me, &names.iter().map(String::as_str).collect::<Vec<_>>());
+        bench.list(ListMode::Changes, vec![entry("w1new", Listed::Running, bench.now)]);
+        for n in 0..24 {
+            let id = me * 1_000 + n;
+            let reader = bench.read_told(&names, id, format!("s{id}")).unwrap();
+            let writer = sent_to(&bench.end(id, 0, &reader, Outcome::Read, 0)).unwrap();
+            (all, cold) = (all + 1, cold + u32::from(writer == "w1new"));
+            bench.first(id, 1, &writer);
+            bench.end(id, 1, &writer, Outcome::Served, 0);
+            bench.now += 20 * MS;
+        }
+    }
+    // The limit is 3 x 0.3 of the third that a warm writer of the cell takes.
+    let limit = 0.9 * f64::from(all) / 3.0;
+    assert!((0.15 * limit..=0.5 * limit).contains(&f64::from(cold)), "{cold} of {all}");
+}
+
+/// One prompt many times the usual, at a reader that has just started, was more than it could do in two seconds.
+#[test]
+fn a_cold_reader_gets_no_prompt_that_alone_makes_it_fall() {
+    let (mut usual, mut long) = (0, 0);
+    for me in 0..40 {
+        let (mut bench, mut names) = sparse(me);
+        names.push("r1new".into());
+        bench.list(ListMode::Changes, vec![entry("r1new", Listed::Running, bench.now)]);
+        for n in 0..20 {
+            names.iter().for_each(|name| drop(bench.told(name, 0.1, 0.0)));
+            let (id, prompt) = (me * 1_000 + n, if n % 2 == 0 { 1_000.0 } else { 20_000.0 });
+            let cold =
+                sent_to(&bench.of_texts(id, format!("s{id}"), None, prompt)).as_deref() == Some("r1new");
+            (usual, long) = (usual + u32::from(cold && n % 2 == 0), long + u32::from(cold && n % 2 == 1));
+            bench.pass(Event::ClientGone { id: ReqId(id) });
+            bench.end(id, 0, "r1new", Outcome::Cancelled, 0);
+        }
+    }
+    assert!(usual > 0 && long == 0, "{usual} usual and {long} long prompts");
+}
+
+/// Few servers are mixed: a chance among those alone drew the states of all cells to one that had just started.
+#[test]
+fn a_cold_mixed_server_draws_no_states_out_of_other_cells() {
+    let mut names: Vec<String> = (0..10).flat_map(|c| ["a", "b"].map(|n| format!("w{c}{n}"))).collect();
+    names.extend(["r1".into(), "m9".into()]);
+    let mut far = 0;
+    for me in 0..40 {
+        let mut bench = one_of_many(me, &names.iter().map(String::as_str).collect::<Vec<_>>());
+        bench.list(ListMode::Changes, vec![entry("m8new", Listed::Running, bench.now)]);
+        for n in 0..12 {
+            let id = me * 1_000 + n;
+            let reader = bench.read_told(&names, id, format!("s{id}")).unwrap();
+            far +=
+                u32::from(sent_to(&bench.end(id, 0, &reader, Outcome::Read, 0)).as_deref() == Some("m8new"));
+            bench.end(id, 1, "m8new", Outcome::NotSent, 0);
+            bench.now += 20 * MS;
+        }
+    }
+    assert!(far <= 4, "{far} of 480 states, where the writers of their cell had room");
+}
