--- a/src/brain.rs
+++ b/src/brain.rs
@@ -918,8 +918,8 @@
         let key = |view: &View| {
             let far = hand_kind(view, cell) == Kind::Far;
             let tokens = self.held_tokens(view, now);
-            let poor = f64::from(u32::from(far) + u32::from(wary(view)));
-            let handicap = FAR_HANDICAP * poor * (request.ask.prompt + tokens);
+            let apart = f64::from(u32::from(far) + u32::from(wary(view)));
+            let handicap = FAR_HANDICAP * apart * (request.ask.prompt + tokens);
             let time = self.predict(view, hand_kind(view, cell), request.ask.prompt, now);
             let late = time.max(view.oldest(now)).max(if far { jam } else { 0.0 }) > left;
             let suspect = Self::suspect(view, request.ask.class).is_some();
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1123,7 +1123,7 @@
     assert!((0.15 * limit..=0.5 * limit).contains(&f64::from(cold)), "{cold} of {all}");
 }
 
-/// One prompt many times the usual, at a reader that has just started, was more than it could do in two seconds.
+/// A precaution, not seen on a day: one prompt many times the usual is more than a new reader does in two seconds.
 #[test]
 fn a_cold_reader_gets_no_prompt_that_alone_makes_it_fall() {
     let (mut usual, mut long) = (0, 0);
