States wait no longer for connections that never come up; releases reach every zone

On sockets an attempt counts once its last byte has arrived; the module took the end of each connect for the end of an attempt and began the state's time anew. Ruled out as the cause of the count: releases that stay unheard.

Change: in the module an attempt that ends without a connection leaves the state's time running, and once that is over the state is let go before anything else is tried.

The module's test fails on the old text ("it is let go").

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -31,7 +31,8 @@
 const REST: Duration = Duration::from_millis(50);
 /// A probe or a release is answered at once, or not at all.
 const SMALL: Duration = Duration::from_millis(250);
-const RELEASE: Duration = Duration::from_millis(120);
+/// Others are told meanwhile, so a call may wait as long as a connection that comes up late needs.
+const RELEASE: Duration = Duration::from_millis(240);
 /// What an engine's head may take: 16 KiB, as common proxies allow.
 const HEAD: Limits = Limits { head: 16 << 10, body: MOST_BODY };
 
@@ -47,6 +48,16 @@
     pub seat: Arc<Seat>,
 }
 
+/// One call that lets go of what is held for a request.
+pub struct Release {
+    pub id: ReqId,
+    pub trace: Box<str>,
+    pub holder: ServerId,
+    /// Who is told, and where.
+    pub engine: ServerId,
+    pub dial: SocketAddr,
+}
+
 /// How an attempt ended.
 struct End {
     outcome: Outcome,
@@ -320,19 +331,21 @@
 
 /// Tells an engine to let go of what is held for a request. It was heard when an answer came: what is written to a
 /// machine that is cut off reaches nobody.
-pub fn release(shared: &Arc<Shared>, id: ReqId, trace: &str, holder: ServerId, dial: SocketAddr) {
+pub fn release(shared: &Arc<Shared>, job: Release) {
     let shared = shared.clone();
-    let text = format!("DELETE /kv/leases/{trace} HTTP/1.1\r\n");
     go(move || {
+        let Release { id, trace, holder, engine, dial } = job;
         let begun = Instant::now();
+        let text = format!("DELETE /kv/leases/{trace} HTTP/1.1\r\n");
         let heard = small(&shared, dial, &text, RELEASE).is_ok();
-        tracing::debug!(target: "release", %text, holder = %holder.0, heard);
+        let took_ms = begun.elapsed().as_millis() as u64;
+        tracing::debug!(target: "release", %trace, holder = %holder.0, engine = %engine.0, heard, took_ms);
         if !heard {
             // Guards against a storm of tries at what refuses at once.
             let left = RELEASE.saturating_sub(begun.elapsed());
             elderstage_net::sleep(left.min(AGAIN));
         }
-        shared.tell(In::Hub(Input::Said { id, holder, heard }));
+        shared.tell(In::Hub(Input::Said { id, holder, engine, heard }));
     });
 }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -77,8 +77,8 @@
                     seat.post(Mail::Last(last));
                 }
             }
-            Command::Release { id, trace, holder, dial } => {
-                engine::release(&self.shared, id, &trace, holder, dial);
+            Command::Release { id, trace, holder, engine, dial } => {
+                engine::release(&self.shared, engine::Release { id, trace, holder, engine, dial });
             }
             Command::Probe { server, dial } => engine::probe(&self.shared, server, dial),
             Command::Forget { id } => {
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -11,8 +11,9 @@
 };
 
 use crate::ask::Ask;
-use crate::leases::{Call, Leases};
+use crate::leases::{Call, Leases, WAVE};
 use crate::list::{Directory, List};
+use crate::reach::Reach;
 use crate::report;
 
 /// What has happened.
@@ -30,8 +31,8 @@
     Probed { server: ServerId, outcome: Outcome, report: Option<String> },
     /// A list came from discovery.
     Listed { list: List, restored: bool },
-    /// A release was said; `heard`: its last byte was written on a connection that had come up.
-    Said { id: ReqId, holder: ServerId, heard: bool },
+    /// A release was said to an engine; `heard`: it has answered.
+    Said { id: ReqId, holder: ServerId, engine: ServerId, heard: bool },
     /// The node ends, within this time.
     Stopping { within: Time },
     /// New figures for the same classes, kinds and zones.
@@ -78,6 +79,8 @@
         id: ReqId,
         trace: Box<str>,
         holder: ServerId,
+        /// Who is told: every engine passes it on.
+        engine: ServerId,
         dial: SocketAddr,
     },
     Probe {
@@ -141,6 +144,12 @@
     open: BTreeMap<ReqId, Open>,
     ids: HashMap<Box<str>, ReqId>,
     leases: Leases,
+    reach: Reach,
+    /// This node's zone, and the time that the settings give to let go.
+    zone: u32,
+    let_go_by: Time,
+    /// When the next wave of a release is due.
+    waves: BinaryHeap<Reverse<(Time, ReqId, ServerId, u32)>>,
     timers: BinaryHeap<Reverse<(Time, u64)>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -153,16 +162,20 @@
             fields: settings.report_fields.clone(),
             roles: settings.roles.clone(),
             safe: settings.classes.iter().map(|class| class.repeat == Repeat::Safe).collect(),
-            router: Router::new(settings, seed),
             directory: Directory::default(),
             readers: HashMap::new(),
             open: BTreeMap::new(),
             ids: HashMap::new(),
             leases: Leases::default(),
+            reach: Reach::default(),
+            zone: settings.zone,
+            let_go_by: settings.let_go_by,
+            waves: BinaryHeap::new(),
             timers: BinaryHeap::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
             counts: Counts::default(),
+            router: Router::new(settings, seed),
         }
     }
 
@@ -194,7 +207,9 @@
     }
 
     pub fn next_timer(&self) -> Option<Time> {
-        self.timers.peek().map(|Reverse((at, _))| *at)
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        let wave = self.waves.peek().map(|Reverse((at, ..))| *at);
+        timer.into_iter().chain(wave).min()
     }
 
     /// Called at or after the time of the next timer.
@@ -206,6 +221,13 @@
             self.timers.pop();
             self.events.push_back(Event::Timer { name });
         }
+        while self.waves.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+            let Some(Reverse((_, id, holder, wave))) = self.waves.pop() else { break };
+            if let Some(call) = self.leases.due(id, &holder, wave, now) {
+                self.counts.releases_again += 1;
+                self.call(now, id, call, out);
+            }
+        }
         self.run(now, out);
     }
 
@@ -224,6 +246,7 @@
                 self.ended(now, id, attempt, outcome, note, report.as_deref());
             }
             Input::Probed { server, outcome, report } => {
+                self.outcome(&server, outcome, now);
                 let load = report.as_deref().and_then(|text| report::parse(text, &self.fields));
                 self.counts.probes_unread += u64::from(load.is_none());
                 self.events.push_back(Event::Probed { server, outcome, took: 0, load });
@@ -234,12 +257,14 @@
                 self.fields = settings.report_fields.clone();
                 self.roles = settings.roles.clone();
                 self.safe = settings.classes.iter().map(|class| class.repeat == Repeat::Safe).collect();
+                (self.zone, self.let_go_by) = (settings.zone, settings.let_go_by);
                 self.router.adopt(*settings);
             }
-            Input::Said { id, holder, heard } => {
+            Input::Said { id, holder, engine, heard } => {
+                self.heard(&engine, heard, now);
                 if let Some(call) = self.leases.said(id, &holder, heard, now) {
                     self.counts.releases_again += 1;
-                    self.call(id, call, out);
+                    self.call(now, id, call, out);
                 }
             }
         }
@@ -273,10 +298,16 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(of) = open.out.take_if(|of| of.attempt == attempt) else { return };
         self.leases.wanted(id, false);
+        self.outcome(&of.server, outcome, now);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        // The rule's time goes on while connections do not come up: what was never sent was never out.
+        if !matches!(outcome, Outcome::NoConnection | Outcome::NotSent) {
+            self.leases.waits_since(id, now);
+        }
         // A read may have ended well at the moment its connection was closed or broke.
         let left = outcome == Outcome::Read || !outcome.never_ran();
         if of.reads && left && !open.streaming {
-            self.leases.may_hold(id, &open.trace, &of.server);
+            self.leases.may_hold(id, &open.trace, &of.server, now);
         }
         let settled = outcome == Outcome::Served || open.streaming;
         if settled && !open.over {
@@ -308,26 +339,47 @@
         let (mode, entries) = self.directory.take(list, restored);
         let directory = &self.directory;
         self.readers.retain(|server, _| directory.dial(server).is_some());
+        self.reach.keep(directory);
         self.events.push_back(Event::Servers { mode, entries });
     }
 
-    fn call(&mut self, id: ReqId, call: Call, out: &mut Vec<Command>) {
-        let own = self.directory.dial(&call.holder);
-        let running = self.directory.running();
-        // Every second try goes to another engine, each time to the next one.
-        let other = || {
-            let others: Vec<_> = running.iter().filter(|(server, _)| *server != call.holder).collect();
-            let at = (id.0 as usize).wrapping_add(call.tries as usize / 2);
-            others.get(at % others.len().max(1)).map(|(_, dial)| *dial)
-        };
-        let dial = if call.tries.is_multiple_of(2) { own.or_else(other) } else { other().or(own) };
-        match dial {
-            Some(dial) => {
-                self.counts.releases += 1;
-                out.push(Command::Release { id, trace: call.trace, holder: call.holder, dial });
-            }
+    fn heard(&mut self, server: &ServerId, heard: bool, now: Time) {
+        if heard { self.reach.answered(server, now) } else { self.reach.silent(server, now) }
+    }
+
+    /// What an ended attempt or probe tells of who can be reached.
+    fn outcome(&mut self, server: &ServerId, outcome: Outcome, now: Time) {
+        match outcome {
+            Outcome::Served | Outcome::Read | Outcome::Error | Outcome::Full => self.heard(server, true, now),
+            Outcome::TimedOut | Outcome::NoConnection => self.heard(server, false, now),
+            Outcome::Broken | Outcome::Cancelled | Outcome::NotSent => {}
+        }
+    }
+
+    /// One wave of a release: to the holder, or to one engine of each zone.
+    fn call(&mut self, now: Time, id: ReqId, call: Call, out: &mut Vec<Command>) {
+        let own = self.directory.dial(&call.holder).map(|dial| (call.holder.clone(), dial));
+        let mut whom: Vec<(ServerId, SocketAddr)> = Vec::new();
+        if call.wave == 0 {
+            whom.extend(own);
+        }
+        if call.wide || whom.is_empty() {
+            let salt = id.0 as usize;
+            let zones = self.reach.one_of_each_zone(&self.directory, self.zone, &call.told, call.wave, salt);
+            whom.extend(zones.into_iter().filter(|(server, _)| call.wave > 0 || *server != call.holder));
+        }
+        if whom.is_empty() {
             // No engine is known at all: there is nobody to tell, and nobody who holds anything.
-            None => self.leases.taken(id),
+            self.leases.taken(id);
+            return;
+        }
+        let engines: Vec<ServerId> = whom.iter().map(|(server, _)| server.clone()).collect();
+        self.leases.called(id, &call.holder, &engines);
+        self.waves.push(Reverse((now + WAVE, id, call.holder.clone(), call.wave)));
+        for (engine, dial) in whom {
+            self.counts.releases += 1;
+            let (trace, holder) = (call.trace.clone(), call.holder.clone());
+            out.push(Command::Release { id, trace, holder, engine, dial });
         }
     }
 
@@ -366,8 +418,8 @@
             Action::Fail { id } => self.answer(id, Last::Failed, out),
             Action::Cancel { id, attempt } => out.push(Command::Cancel { id, attempt }),
             Action::Release { id } => {
-                for call in self.leases.release(id, now) {
-                    self.call(id, call, out);
+                for call in self.leases.release(id, now, self.let_go_by) {
+                    self.call(now, id, call, out);
                 }
             }
             Action::Probe { server } => {
--- a/crates/platform/src/leases.rs
+++ b/crates/platform/src/leases.rs
@@ -2,15 +2,23 @@
 //!
 //! A reader that has read a prompt holds its state until a writer takes it or it is told to let go. The module says
 //! when; this keeps where, and says a release again until it has reached an engine: the time that the rule gives goes
-//! on while connections do not come up. A release is known by the request's id alone and every engine accepts it, so
-//! when the holder can't be reached the next try goes to another engine.
+//! on while connections do not come up. A release is known by the request's id alone and every engine accepts it.
+//! The first call goes to the holder alone and is all there is when all is well. What is not heard within [`WAVE`]
+//! goes to one engine of every zone at once (`reach.rs`), and so does what is late already: one engine after the
+//! other took 0.12 s each, while a cut zone left two of three silent.
 
 use std::collections::BTreeMap;
 
 use elderstage::{ReqId, ServerId, Time};
 
-/// Tries of one release before it is given up: no engine has been reached for seconds then.
-const TRIES: u32 = 24;
+/// Waves of one release before it is given up: no engine has been reached for seconds then.
+const WAVES: u32 = 24;
+/// Waves that go out while others are not answered yet; later ones wait until all calls have ended. With four zones
+/// a release costs 17 calls within the time of the rule at the most, and about 17 a second after it.
+const QUICK: u32 = 5;
+/// Time between two such waves, in microseconds. A call that is heard takes a few milliseconds, on a new connection
+/// some tens; the rule's time (300 ms and more) holds four of them.
+pub const WAVE: Time = 60_000;
 /// A release is not said again after this time: the engines' own limits have acted by then. In microseconds.
 const LIFE: Time = 10_000_000;
 
@@ -25,17 +33,32 @@
 #[derive(Debug)]
 struct Holder {
     server: ServerId,
-    /// Being told to let go: how often it was tried, and since when.
-    letting_go: Option<(u32, Time)>,
+    /// Since when it may hold something that no writer was asked to take.
+    since: Time,
+    letting_go: Option<Telling>,
 }
 
-/// What to tell whom.
+/// A release on its way.
+#[derive(Debug, Default)]
+struct Telling {
+    since: Time,
+    waves: u32,
+    /// Calls that have not ended.
+    out: u32,
+    told: BTreeMap<ServerId, u32>,
+}
+
+/// What to tell next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
     pub trace: Box<str>,
     pub holder: ServerId,
-    /// How often it was said before; the first goes to the holder.
-    pub tries: u32,
+    /// How often each engine was told already.
+    pub told: BTreeMap<ServerId, u32>,
+    /// The first wave is 0.
+    pub wave: u32,
+    /// Not to the holder alone.
+    pub wide: bool,
 }
 
 /// All that may be held.
@@ -44,14 +67,15 @@
 
 impl Leases {
     /// An attempt that may leave a state behind has ended at this server.
-    pub fn may_hold(&mut self, id: ReqId, trace: &str, server: &ServerId) {
+    pub fn may_hold(&mut self, id: ReqId, trace: &str, server: &ServerId, now: Time) {
         let lease = self.0.entry(id).or_insert_with(|| Lease {
             trace: trace.into(),
             holders: Vec::new(),
             wanted: false,
         });
-        if !lease.holders.iter().any(|holder| holder.server == *server) {
-            lease.holders.push(Holder { server: server.clone(), letting_go: None });
+        match lease.holders.iter_mut().find(|holder| holder.server == *server) {
+            Some(holder) => holder.since = now,
+            None => lease.holders.push(Holder { server: server.clone(), since: now, letting_go: None }),
         }
     }
 
@@ -62,42 +86,95 @@
         }
     }
 
+    /// An attempt that may have reached an engine has ended: what is held has waited since then.
+    pub fn waits_since(&mut self, id: ReqId, now: Time) {
+        if let Some(lease) = self.0.get_mut(&id) {
+            lease.holders.iter_mut().for_each(|holder| holder.since = now);
+        }
+    }
+
     /// The request streams: the engines have let go of the rest.
     pub fn taken(&mut self, id: ReqId) {
         self.0.remove(&id);
     }
 
-    /// The module lets go: whom to tell that is not being told already.
-    pub fn release(&mut self, id: ReqId, now: Time) -> Vec<Call> {
+    /// The module lets go: what to tell that is not being told already. `let_go_by`: what the settings give for it.
+    pub fn release(&mut self, id: ReqId, now: Time, let_go_by: Time) -> Vec<Call> {
         let Some(lease) = self.0.get_mut(&id) else { return Vec::new() };
-        let mut calls = Vec::new();
-        for holder in lease.holders.iter_mut().filter(|holder| holder.letting_go.is_none()) {
-            holder.letting_go = Some((0, now));
-            calls.push(Call { trace: lease.trace.clone(), holder: holder.server.clone(), tries: 0 });
+        let trace = &lease.trace;
+        let new = lease.holders.iter_mut().filter(|holder| holder.letting_go.is_none());
+        new.map(|holder| {
+            holder.letting_go = Some(Telling { since: now, ..Telling::default() });
+            Call {
+                trace: trace.clone(),
+                holder: holder.server.clone(),
+                told: BTreeMap::new(),
+                wave: 0,
+                wide: now >= holder.since + let_go_by,
+            }
+        })
+        .collect()
+    }
+
+    /// These engines are being told.
+    pub fn called(&mut self, id: ReqId, holder: &ServerId, engines: &[ServerId]) {
+        let Some(telling) = self.telling(id, holder) else { return };
+        telling.waves += 1;
+        for engine in engines {
+            telling.out += 1;
+            *telling.told.entry(engine.clone()).or_insert(0) += 1;
         }
-        calls
     }
 
-    /// A release was said; `heard`: it has reached an engine whole. Gives the next try, if there is one.
-    pub fn said(&mut self, id: ReqId, server: &ServerId, heard: bool, now: Time) -> Option<Call> {
+    fn telling(&mut self, id: ReqId, holder: &ServerId) -> Option<&mut Telling> {
         let lease = self.0.get_mut(&id)?;
-        let wanted = lease.wanted;
-        let holder = lease.holders.iter_mut().find(|holder| holder.server == *server)?;
-        let (tries, since) = holder.letting_go.as_mut()?;
-        *tries += 1;
-        if heard || *tries >= TRIES || now >= *since + LIFE {
-            lease.holders.retain(|holder| holder.server != *server);
-            if lease.holders.is_empty() {
-                self.0.remove(&id);
-            }
+        lease.holders.iter_mut().find(|of| of.server == *holder)?.letting_go.as_mut()
+    }
+
+    /// A release was said; `heard`: it has reached an engine whole. Gives the next wave, if one is due.
+    pub fn said(&mut self, id: ReqId, holder: &ServerId, heard: bool, now: Time) -> Option<Call> {
+        let telling = self.telling(id, holder)?;
+        telling.out = telling.out.saturating_sub(1);
+        if heard {
+            self.drop_holder(id, holder);
+            return None;
+        }
+        let over = telling.out == 0;
+        if over { self.next(id, holder, now) } else { None }
+    }
+
+    /// [`WAVE`] after a wave went out: the next one, if it was not heard.
+    pub fn due(&mut self, id: ReqId, holder: &ServerId, wave: u32, now: Time) -> Option<Call> {
+        let telling = self.telling(id, holder)?;
+        let stands = telling.waves == wave + 1 && telling.waves < QUICK;
+        if stands { self.next(id, holder, now) } else { None }
+    }
+
+    fn next(&mut self, id: ReqId, holder: &ServerId, now: Time) -> Option<Call> {
+        let lease = self.0.get_mut(&id)?;
+        let (trace, wanted) = (lease.trace.clone(), lease.wanted);
+        let of = lease.holders.iter_mut().find(|of| of.server == *holder)?;
+        let telling = of.letting_go.as_ref()?;
+        if telling.waves >= WAVES || now >= telling.since + LIFE {
+            self.drop_holder(id, holder);
             return None;
         }
         if wanted {
             // Its next release tells it again.
-            holder.letting_go = None;
+            of.letting_go = None;
             return None;
         }
-        Some(Call { trace: lease.trace.clone(), holder: server.clone(), tries: *tries })
+        let (told, wave) = (telling.told.clone(), telling.waves);
+        Some(Call { trace, holder: holder.clone(), told, wave, wide: true })
+    }
+
+    fn drop_holder(&mut self, id: ReqId, holder: &ServerId) {
+        if let Some(lease) = self.0.get_mut(&id) {
+            lease.holders.retain(|of| of.server != *holder);
+            if lease.holders.is_empty() {
+                self.0.remove(&id);
+            }
+        }
     }
 
     /// Requests for which something may be held.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod kept;
 pub mod leases;
 pub mod list;
+pub mod reach;
 pub mod reply;
 pub mod report;
 pub mod start;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -72,7 +72,8 @@
 /// Where the servers are that the lists have named.
 #[derive(Debug, Default)]
 pub struct Directory {
-    dials: HashMap<ServerId, (SocketAddr, Listed)>,
+    /// Where each is reached, what the list says of it, and its zone.
+    dials: HashMap<ServerId, (SocketAddr, Listed, u32)>,
 }
 
 impl Directory {
@@ -131,7 +132,8 @@
         for host in list.hosts {
             match host.dial {
                 Some(dial) if host.entry.listed != Listed::Gone => {
-                    self.dials.insert(host.entry.server.clone(), (dial, host.entry.listed));
+                    let known = (dial, host.entry.listed, host.entry.zone);
+                    self.dials.insert(host.entry.server.clone(), known);
                 }
                 // Guards against a long day's growth: a server that has left is forgotten.
                 _ => drop(self.dials.remove(&host.entry.server)),
@@ -147,13 +149,14 @@
     }
 
     pub fn dial(&self, server: &ServerId) -> Option<SocketAddr> {
-        self.dials.get(server).map(|(dial, _)| *dial)
+        self.dials.get(server).map(|(dial, ..)| *dial)
     }
 
-    /// All that run, in the order of their names.
-    pub fn running(&self) -> Vec<(ServerId, SocketAddr)> {
-        let running = self.dials.iter().filter(|(_, (_, listed))| *listed == Listed::Running);
-        let mut running: Vec<_> = running.map(|(server, (dial, _))| (server.clone(), *dial)).collect();
+    /// All that run, in the order of their names, with address and zone.
+    pub fn running(&self) -> Vec<(ServerId, SocketAddr, u32)> {
+        let running = self.dials.iter().filter(|(_, (_, listed, _))| *listed == Listed::Running);
+        let mut running: Vec<_> =
+            running.map(|(server, (dial, _, zone))| (server.clone(), *dial, *zone)).collect();
         running.sort_unstable();
         running
     }
--- a/crates/platform/tests/hub.rs
+++ b/crates/platform/tests/hub.rs
@@ -70,6 +70,11 @@
         self.tell(Input::Ended { id: ReqId(id), attempt, outcome, note: 0, report: None })
     }
 
+    fn said(&mut self, id: u32, holder: &str, engine: &str, heard: bool) -> Vec<Command> {
+        let (holder, engine) = (ServerId(holder.into()), ServerId(engine.into()));
+        self.tell(Input::Said { id: ReqId(id), holder, engine, heard })
+    }
+
     /// Lets time pass, with the timers that are due.
     fn pass(&mut self, time: Time) -> Vec<Command> {
         let (end, mut out) = (self.now + time, Vec::new());
@@ -97,6 +102,14 @@
     commands.iter().filter_map(dial).collect()
 }
 
+fn told(commands: &[Command]) -> Vec<String> {
+    let engine = |command: &Command| match command {
+        Command::Release { engine, .. } => Some(engine.0.to_string()),
+        _ => None,
+    };
+    commands.iter().filter_map(engine).collect()
+}
+
 fn answer(commands: &[Command]) -> Option<Last> {
     commands.iter().find_map(|command| match command {
         Command::Answer { last, .. } => Some(*last),
@@ -145,7 +158,7 @@
     assert_eq!(released(&commands), [own]);
     assert_eq!(answer(&commands), None, "nobody is left to be answered");
     assert_eq!(world.hub.held(), (0, 1), "until it is heard");
-    world.tell(Input::Said { id: ReqId(1), holder: ServerId(reader.as_str().into()), heard: true });
+    world.said(1, &reader, &reader, true);
     assert_eq!(world.hub.held(), (0, 0));
 }
 
@@ -165,30 +178,30 @@
     }
 }
 
-/// The time that the rule gives goes on while connections do not come up: each next try goes elsewhere.
+/// What fails at once is said again elsewhere, and in the end given up.
 #[test]
 fn a_release_is_said_until_an_engine_has_heard_it() {
     let mut world = World::with(example_settings());
     let (attempt, reader) = sent(&world.arrive(1, "a")).unwrap();
     world.tell(Input::Gone { id: ReqId(1) });
-    let mut tried = released(&world.end(1, attempt, Outcome::Cancelled));
-    let holder = ServerId(reader.as_str().into());
-    for _ in 0..3 {
-        let commands = world.tell(Input::Said { id: ReqId(1), holder: holder.clone(), heard: false });
-        tried.extend(released(&commands));
+    let mut told = told(&world.end(1, attempt, Outcome::Cancelled));
+    for n in 0..2 {
+        let engine = told[n].clone();
+        told.extend(self::told(&world.said(1, &reader, &engine, false)));
     }
-    let own = addr(if reader == "reader" { 1 } else { 2 });
-    assert_eq!((tried.len(), tried[0], tried[2]), (4, own, own));
-    assert!(tried[1] != own && tried[3] != own && tried[1] != tried[3], "{tried:?}");
-    world.tell(Input::Said { id: ReqId(1), holder: holder.clone(), heard: true });
+    let mut all = told.clone();
+    all.sort_unstable();
+    assert_eq!((told[0].as_str(), told.len()), (reader.as_str(), 3));
+    assert_eq!(all, ["reader", "spare", "writer"], "each of the zone once before any twice");
+    world.said(1, &reader, &told[2], true);
     assert_eq!(world.hub.held(), (0, 0));
     // With nobody left who hears, it is given up after a bounded number of tries.
     let (attempt, reader) = sent(&world.arrive(2, "b")).unwrap();
     world.tell(Input::Gone { id: ReqId(2) });
-    world.end(2, attempt, Outcome::Cancelled);
-    let holder = ServerId(reader.as_str().into());
+    let mut told = self::told(&world.end(2, attempt, Outcome::Cancelled));
     for _ in 0..100 {
-        world.tell(Input::Said { id: ReqId(2), holder: holder.clone(), heard: false });
+        let Some(engine) = told.pop() else { break };
+        told.extend(self::told(&world.said(2, &reader, &engine, false)));
     }
     assert_eq!(world.hub.held(), (0, 0));
     assert!(world.hub.counts().releases_again < 100);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -398,10 +398,8 @@
         if mode == ListMode::Failed {
             return;
         }
-        if mode != ListMode::Changes {
-            for view in self.views.values_mut() {
-                view.entry.listed = Listed::Gone;
-            }
+        for view in self.views.values_mut().filter(|_| mode != ListMode::Changes) {
+            view.entry.listed = Listed::Gone;
         }
         for entry in entries {
             let role = self.set.roles.get(entry.kind).copied().unwrap_or(Role::Mixed);
@@ -420,9 +418,7 @@
         for view in self.views.values().filter(|v| v.entry.listed == Listed::Running) {
             let cells = if view.role == Role::Prefill { &mut readers } else { &mut writers };
             *cells.entry(view.entry.cell).or_insert(0.0) += view.entry.weight;
-            if !self.cold(view, now) {
-                warm[view.role as usize] += view.entry.weight;
-            }
+            warm[view.role as usize] += if self.cold(view, now) { 0.0 } else { view.entry.weight };
         }
         (self.readers, self.writers) = (readers, writers);
         for (cell, now) in &self.writers {
@@ -665,9 +661,16 @@
         let job = self.views.get_mut(server).and_then(|view| view.jobs.remove(&id));
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.out = None;
-        if let Some((_, since)) = &mut request.state {
+        // What never came up was never out, and the state waits on: guards against one such try after another.
+        if let Some((_, since)) = request.state.as_mut().filter(|_| outcome != Outcome::NoConnection) {
             *since = now;
         }
+        // A state that a writer misses may be out of reach, behind a cut: let go of it before reading anew.
+        let missed = outcome == Outcome::Full && note == 1;
+        if missed || request.state.as_ref().is_some_and(|(_, since)| now > since + self.set.let_go_by) {
+            request.state = None;
+            out.push(Action::Release { id });
+        }
         let class = request.ask.class;
         let whole = job.as_ref().is_some_and(|job| job.kind != Kind::Read);
         match outcome {
@@ -680,12 +683,8 @@
                     self.learn(server, Kind::Read, x, (now - job.sent) as f64);
                 }
             }
+            _ if missed => {}
             Outcome::Served | Outcome::NotSent | Outcome::Cancelled => {}
-            Outcome::Full if note == 1 => {
-                // The state may only be out of reach, behind a cut: let go of it before reading anew.
-                request.state = None;
-                out.push(Action::Release { id });
-            }
             // One broken connection says little of a server, and one that has died refuses the next at once:
             // guards against resets on the way that would suspend one server after the other.
             Outcome::Broken if self.broke(server, class) <= BROKE => {}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -264,6 +264,38 @@
     assert_eq!(sent_to(&done).as_deref(), Some("r1"));
 }
 
+/// Connections that do not come up are no attempts: the state that waits meanwhile is let go when its time is up,
+/// before a third writer is tried. Guards against a cut zone, where each try takes a connection's whole patience.
+#[test]
+fn a_state_does_not_wait_for_one_dead_connection_after_the_other() {
+    let mut bench = Bench::new(&["r1", "w1a", "w1b", "w1c", "w1d"]);
+    let set = example_settings();
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    bench.now += 100 * MS;
+    let read = bench.now;
+    let mut writer = sent_to(&bench.end(1, 0, &reader, Outcome::Read, 0)).unwrap();
+    let mut released = None;
+    for attempt in 1..3 {
+        bench.now += set.connect_timeout;
+        let done = bench.end(1, attempt, &writer, Outcome::NoConnection, 0);
+        let release = done.iter().position(|action| *action == Action::Release { id: ReqId(1) });
+        let send = done.iter().position(|action| matches!(action, Action::Send { .. }));
+        released = released.or(release.map(|_| bench.now));
+        assert!(release.is_none_or(|at| send.is_none_or(|send| at < send)), "{done:?}");
+        let Some(next) = sent_to(&done) else { break };
+        writer = next;
+    }
+    let waited = released.expect("it is let go") - read;
+    assert!(waited <= 2 * set.connect_timeout && waited > set.let_go_by, "{waited} us");
+    // An attempt that was out gives the state its whole time again.
+    let mut bench = Bench::new(&["r1", "w1a", "w1b", "w1c"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    let writer = sent_to(&bench.end(1, 0, &reader, Outcome::Read, 0)).unwrap();
+    bench.now += set.let_go_by + MS;
+    let done = bench.end(1, 1, &writer, Outcome::Full, 0);
+    assert!(sent_to(&done).is_some() && !done.contains(&Action::Release { id: ReqId(1) }), "{done:?}");
+}
+
 // ---- The five rules ----
 
 #[test]
