--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -41,7 +41,7 @@
         let entry = Entry {
             server: ServerId(name(engine).as_str().into()),
             listed: Listed::Running,
-            kind: usize::from(engine / ZONES % 2 == 1),
+            kind: usize::from(!(engine / ZONES).is_multiple_of(2)),
             zone: zone_of(engine),
             cell: 0,
             weight: 1.0,
@@ -161,7 +161,7 @@
 fn a_release_is_heard_in_time_when_engines_hang_beside_a_cut() {
     all_let_go("hanging", 17, |zone, engine| {
         let across = (zone == 0) != (zone_of(engine) == 0);
-        if across || engine / ZONES % 4 == 0 { Way::Silent } else { Way::Open }
+        if across || (engine / ZONES).is_multiple_of(4) { Way::Silent } else { Way::Open }
     });
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -71,8 +71,9 @@
 }
 
 /// How the list of servers comes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Discovery {
+    #[default]
     Pushed,
     Asked,
 }
@@ -97,7 +98,7 @@
 }
 
 /// All that an instance is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// This front's number and zone, and how many fronts there are.
     pub me: u32,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,12 +23,12 @@
 //! ```
 
 mod api;
-mod brain;
+mod policy;
 #[cfg(feature = "settings")]
 pub mod settings;
 
 pub use api::*;
-pub use brain::Router;
+pub use policy::Router;
 
 /// Settings of a small made-up deployment, for trying the library out and for tests.
 pub fn example_settings() -> Settings {
--- /dev/null
+++ b/src/policy/guards.rs
@@ -0,0 +1,79 @@
+//! Guards: every send and every final answer passes here.
+use super::*;
+
+impl Router {
+    /// Whether another attempt is allowed, at any server or at this one.
+    pub(super) fn may_send(&self, now: Time, id: ReqId, to: Option<&View>) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let open = !request.ended
+            && !request.streaming
+            && request.out.is_none()
+            && request.tries < self.set.most_tries
+            && now < request.deadline
+            && to.is_none_or(|v| v.entry.listed == Listed::Running && self.cold_turn(v, request, now));
+        let effect = match (&request.ran, self.set.classes.get(request.ask.class).map(|c| c.repeat)) {
+            (None, _) | (_, Some(Repeat::Safe)) => true,
+            (Some((first, sent)), Some(Repeat::Keyed { group, memory })) => {
+                let inside = now + self.set.connect_timeout + TRAVEL * self.set.tick < sent + memory;
+                let same = |to: &View| match (group, self.views.get(first)) {
+                    (Group::All, _) => true,
+                    (Group::Zone, Some(of)) => of.entry.zone == to.entry.zone,
+                    (Group::Cell, Some(of)) => of.entry.cell == to.entry.cell,
+                    (_, None) => false,
+                };
+                inside && to.is_none_or(same)
+            }
+            _ => false,
+        };
+        open && effect
+    }
+
+    pub(super) fn cold(&self, view: &View, now: Time) -> bool {
+        view.entry.ready_at > 0 && now < view.entry.ready_at + self.set.cold_for
+    }
+
+    /// Guards a server that has just started: an attempt may go there by a chance, so that any number of
+    /// fronts together send it a part of what a warm server of its size answers. A state has only the writers
+    /// of its cell, which may have far more than its part: the mean of both. No prompt alone makes it fall.
+    fn cold_turn(&self, view: &View, request: &Request, now: Time) -> bool {
+        if !self.cold(view, now) {
+            return true;
+        }
+        let (sent, answered) = self.flow[view.role as usize];
+        let from = request.state.as_ref().and_then(|(at, _)| Some(self.views.get(at)?.entry.cell));
+        let even = |of: f64| view.entry.weight / of.max(view.entry.weight);
+        let all = even(from.map_or(self.warm[view.role as usize], |_| self.paired.values().sum()));
+        let cell = self.paired.get(&view.entry.cell).filter(|_| from == Some(view.entry.cell));
+        let near = cell.map_or(all, |cell| even(*cell));
+        let able = self.set.fall_multiple * self.set.cold_from * (answered + 1.0) / (sent + 1.0);
+        let draw = hash(&view.entry.server.0, &format!("{} {}", request.ask.id.0, request.tries));
+        let fits = request.ask.prompt <= self.set.fall_multiple * self.usual_prompt.exp();
+        fits && unit(draw) <= COLD_USE * able * (all * near).sqrt()
+    }
+
+    /// The one final answer: a refusal where nothing can have run (or repeats are harmless), else a failure.
+    pub(super) fn finish(&mut self, now: Time, id: ReqId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        if request.tries > 0 && !request.streaming {
+            out.push(Action::Release { id });
+        }
+        if request.ended {
+            return;
+        }
+        let harmless = match self.set.classes.get(request.ask.class).map(|class| class.repeat) {
+            Some(Repeat::Safe) => true,
+            Some(Repeat::Keyed { group: Group::All, memory }) => {
+                request.ran.as_ref().is_none_or(|(_, sent)| now < sent + memory)
+            }
+            _ => request.ran.is_none(),
+        };
+        if harmless {
+            let share = ADVICE + (1.0 - ADVICE) * self.random();
+            let longest = if self.set.may_advise { self.set.max_retry_after } else { 0 };
+            let retry_after = (share * longest as f64) as Time;
+            out.push(Action::Refuse { id, retry_after });
+        } else {
+            out.push(Action::Fail { id });
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/views.rs
@@ -0,0 +1,164 @@
+//! What is known of servers and of requests.
+use super::*;
+
+/// What an attempt is for; also numbers the fits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    Read = 0,
+    /// A read and answer at a writer or mixed server (rule 3).
+    Whole = 1,
+    /// A state fetched inside its cell, or from another one.
+    Near = 2,
+    Far = 3,
+}
+
+/// A line fitted to answers, older ones fading: microseconds over tokens, as sums of 1, x, y, xx, xy.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Line(pub(super) [f64; 5]);
+
+impl Line {
+    pub(super) fn learn(&mut self, x: f64, y: f64) {
+        for (sum, new) in self.0.iter_mut().zip([1.0, x, y, x * x, x * y]) {
+            *sum = *sum * FIT_KEEP + new;
+        }
+    }
+
+    /// Falls back on the mean where the answers do not span a line that rises.
+    pub(super) fn at(&self, x: f64) -> f64 {
+        let [n, sx, sy, xx, xy] = self.0;
+        if n <= 0.0 {
+            return 0.0;
+        }
+        let (mx, my) = (sx / n, sy / n);
+        let spread = xx / n - mx * mx;
+        let slope = if spread > 1.0 { (xy / n - mx * my) / spread } else { 0.0 };
+        my + slope.clamp(0.0, if mx > 0.0 { my / mx } else { 0.0 }) * (x - mx)
+    }
+}
+
+pub(super) enum Step {
+    Take(ServerId),
+    /// A server is asked, or its answer is due.
+    Ask(Option<ServerId>),
+    Next,
+}
+
+/// What a server has done for one class: a server may fail one and serve the others.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Health {
+    pub(super) strikes: u32,
+    /// Connections that broke since it last answered.
+    pub(super) broke: u32,
+    /// No work before this time, and then one trial at a time.
+    pub(super) until: Time,
+    pub(super) struck: Time,
+    pub(super) answered: Time,
+}
+
+#[derive(Clone)]
+pub(super) struct Job {
+    pub(super) kind: Kind,
+    /// Cell of the state that it fetches.
+    pub(super) from: Option<u32>,
+    pub(super) sent: Time,
+    pub(super) due: Time,
+    pub(super) x: f64,
+    pub(super) unread: f64,
+    pub(super) tokens: f64,
+    pub(super) first: Option<Time>,
+}
+
+#[derive(Default)]
+pub(super) struct View {
+    pub(super) entry: Entry,
+    pub(super) role: Role,
+    pub(super) kv: f64,
+    pub(super) jobs: BTreeMap<ReqId, Job>,
+    /// By kind of attempt: how much slower than the common fits, 0 for as fast.
+    pub(super) pace: [f64; 4],
+    pub(super) kept: BTreeMap<TextKey, (f64, Time)>,
+    /// Memory share, prompt tokens that wait, and when told.
+    pub(super) report: Option<(f64, f64, Time)>,
+    pub(super) probed: Time,
+    pub(super) health: BTreeMap<usize, Health>,
+}
+
+impl View {
+    pub(super) fn tokens(&self) -> f64 {
+        self.jobs.values().map(|job| job.tokens).sum()
+    }
+
+    pub(super) fn waiting(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().filter(|job| job.first.is_none())
+    }
+
+    pub(super) fn oldest(&self, now: Time) -> f64 {
+        self.waiting().map(|job| now.saturating_sub(job.sent) as f64).fold(0.0, f64::max)
+    }
+
+    pub(super) fn unread(&self, ask: &Arrival) -> f64 {
+        (ask.prompt - self.kept(ask)).max(0.0)
+    }
+
+    pub(super) fn kept(&self, ask: &Arrival) -> f64 {
+        let of = |key: &Option<TextKey>, most: f64| Some(self.kept.get(key.as_ref()?)?.0.min(most));
+        of(&ask.session, ask.prompt).unwrap_or(0.0).max(of(&ask.prefix, ask.shared).unwrap_or(0.0))
+    }
+
+    pub(super) fn remember(&mut self, ask: &Arrival, found: f64, now: Time) {
+        // Guards against texts that are gone: what an answer did not find is no longer counted on.
+        for (key, tokens) in [(&ask.session, ask.prompt), (&ask.prefix, ask.shared)] {
+            if let Some(key) = key.as_ref().filter(|_| tokens > 0.0) {
+                self.kept.insert(key.clone(), (tokens, now));
+            }
+        }
+        if found < FOUND * ask.shared || self.kept.len() > KEPT_MOST {
+            self.kept.retain(|_, (_, at)| *at == now);
+        }
+    }
+}
+
+#[derive(Default)]
+pub(super) struct Request {
+    pub(super) ask: Arrival,
+    pub(super) arrived: Time,
+    pub(super) deadline: Time,
+    pub(super) aim: f64,
+    pub(super) over: bool,
+    pub(super) tries: u32,
+    pub(super) out: Option<(ServerId, u32)>,
+    /// The reader whose state waits, and since when.
+    pub(super) state: Option<(ServerId, Time)>,
+    pub(super) streaming: bool,
+    pub(super) ended: bool,
+    /// Server and send time of the first attempt that may have run.
+    pub(super) ran: Option<(ServerId, Time)>,
+}
+
+/// A hash as a number above 0, at most 1.
+pub(super) fn unit(hash: u64) -> f64 {
+    ((hash & 0xffff_ffff) + 1) as f64 / 2f64.powi(32)
+}
+
+impl Request {
+    /// Past its aim it earns little: it takes only what is free, after all that can be in time.
+    pub(super) fn late(&self, now: Time) -> bool {
+        now >= self.arrived + self.aim as Time
+    }
+
+    /// Time left within the aim, after it to the deadline; clients may come with less than the aim.
+    pub(super) fn left(&self, now: Time) -> f64 {
+        let (age, all) = ((now - self.arrived) as f64, self.deadline.saturating_sub(now) as f64);
+        if age < self.aim { all.min(self.aim - age) } else { all }
+    }
+}
+
+pub(super) fn hash(one: &str, other: &str) -> u64 {
+    let mix = |h: u64, byte: u8| (h ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    let h = one.bytes().chain([0]).chain(other.bytes()).fold(0xcbf2_9ce4_8422_2325, mix);
+    (h ^ (h >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 8
+}
+
+pub(super) fn hand_kind(view: &View, from: Option<u32>) -> Kind {
+    if from.is_none_or(|cell| cell == view.entry.cell) { Kind::Near } else { Kind::Far }
+}
