A front node counts its requests for an agent beside it, where asked to

Need: members of the fleet tell what they were asked, served in time, refused and failed, by class, release and settings; today a node's counts are in its log alone.

The hub counts each request in one end, and only where the configuration has "tally"; the main thread then replaces a file once a second. No socket, no thread, nothing the module or the owner waits for. Token gaps are per event of a stream.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -65,11 +65,13 @@
     report: Option<String>,
     /// The client's stream has begun.
     begun: bool,
+    /// Events of it that were passed on.
+    events: u64,
 }
 
 impl End {
     fn of(outcome: Outcome, note: u64, report: Option<String>) -> End {
-        End { outcome, note, report, begun: false }
+        End { outcome, note, report, begun: false, events: 0 }
     }
 }
 
@@ -86,8 +88,9 @@
             target: "attempt", trace = %job.seat.parts.trace, attempt = job.attempt, server = %job.server.0,
             outcome = ?end.outcome, note = end.note, took_ms = begun.elapsed().as_millis() as u64,
         );
-        let End { outcome, note, report, .. } = end;
-        shared.tell(In::Hub(Input::Ended { id: job.id, attempt: job.attempt, outcome, note, report }));
+        let End { outcome, note, report, events, .. } = end;
+        let (id, attempt) = (job.id, job.attempt);
+        shared.tell(In::Hub(Input::Ended { id, attempt, outcome, note, report, events }));
     });
 }
 
@@ -238,7 +241,7 @@
     mut until: Instant,
 ) -> Result<(End, bool), Cut> {
     let (mut stream, mut begun, opened) = (Stream::new(), false, Instant::now());
-    let broken = |begun| End { outcome: Outcome::Broken, note: 0, report: None, begun };
+    let broken = |begun| End { outcome: Outcome::Broken, note: 0, report: None, begun, events: 0 };
     loop {
         let mut events = Vec::new();
         let pushed = stream.push(link.conn().pending(), &mut events);
@@ -270,7 +273,8 @@
             let good = head.keep_alive && !link.conn().has_pending();
             let said = stream.told();
             let report = said.report.or(told);
-            return Ok((End { outcome: Outcome::Served, note: said.cached, report, begun }, good));
+            let (outcome, note, events) = (Outcome::Served, said.cached, said.events);
+            return Ok((End { outcome, note, report, begun, events }, good));
         }
         while !job.seat.has_room() && !job.seat.is_closed() && !job.seat.is_cancelled(job.attempt) {
             link.conn().pause(Some(Instant::now() + CLIENT_WAIT));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod pool;
 mod room;
 mod seat;
+mod tally;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -21,6 +22,7 @@
 use elderstage::settings::Names;
 use elderstage_net::owner::{Clock, Inbox, queue, run};
 use elderstage_net::{Conn, Listener, go, init_small};
+use elderstage_platform::counting::Counting;
 use elderstage_platform::hub::{Hub, Input};
 use elderstage_platform::start::{Companions, Start, StartError};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -79,6 +81,7 @@
     open: AtomicUsize,
     letting_go: AtomicUsize,
     discovery: Mutex<(SocketAddr, u64)>,
+    tally: tally::Handed,
 }
 
 impl Shared {
@@ -111,6 +114,11 @@
     Start::parse(&text, besides).map_err(|error| NodeError::Config { path: shown, error })
 }
 
+/// What a configuration is known by: the BLAKE3 digest of its file.
+fn digest(path: &Path) -> String {
+    std::fs::read(path).map_or_else(|_| String::new(), |text| blake3::hash(&text).to_hex().to_string())
+}
+
 /// Runs a node until SIGTERM or SIGINT and until all it took is answered.
 pub fn node(path: &Path, besides: &Companions) -> Result<(), NodeError> {
     let start = read(path, besides)?;
@@ -135,9 +143,14 @@
         open: AtomicUsize::new(0),
         letting_go: AtomicUsize::new(0),
         discovery: Mutex::new((start.discovery, 0)),
+        tally: tally::Handed::default(),
     });
     let longest = Duration::from_micros(shared.names.longest_wait);
-    let hub = Hub::new(start.settings.clone(), start.seed);
+    let mut hub = Hub::new(start.settings.clone(), start.seed);
+    if let Some(to) = &start.tally {
+        hub.count(Counting::new(&to.release, &digest(path), &shared.names.classes, &start.settings));
+    }
+    let mut counts = tally::Writer::new(clock.now());
     run("owner", clock, events, Owner::new(hub, shared.clone())).map_err(NodeError::System)?;
     let seq = start.known.seq;
     shared.tell(In::Hub(Input::Listed { list: start.known.clone(), restored: true }));
@@ -170,6 +183,10 @@
             tidy = Instant::now();
             shared.pool.reap();
             shared.tell(In::Compare);
+            if let Some(to) = &start.tally {
+                counts.write(&shared.tally, &to.file);
+                shared.tell(In::Tally);
+            }
         }
         if trace.elapsed() >= TRACE {
             trace = Instant::now();
@@ -191,6 +208,9 @@
             quiet = if busy { None } else { quiet.or(Some(Instant::now())) };
             if quiet.is_some_and(|since| since.elapsed() >= QUIET) {
                 tracing::info!(target: "node", "all answered");
+                if let Some(to) = &start.tally {
+                    counts.write(&shared.tally, &to.file);
+                }
                 return Ok(());
             }
             shared.guests.dismiss_idle();
@@ -212,6 +232,10 @@
         Ok(new) => match running.needs_restart(&new) {
             None => {
                 shared.move_discovery(new.discovery);
+                if running.tally.is_some() {
+                    let settings = Box::new(new.settings.clone());
+                    shared.tell(In::CountUnder { digest: digest(path), settings });
+                }
                 let settings = Box::new(new.settings);
                 shared.tell(In::Hub(Input::Settings { settings }));
                 tracing::info!(target: "node", discovery = %new.discovery, "configuration taken");
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use elderstage::ReqId;
+use elderstage::{ReqId, Settings};
 use elderstage_net::owner::{Machine, Micros};
 use elderstage_platform::ask::Ask;
 use elderstage_platform::hub::{Command, Hub, Input};
@@ -26,6 +26,13 @@
     Hub(Input),
     /// Write what is held and counted to the log.
     Trace,
+    /// Hand out what was counted, for the agent beside this node.
+    Tally,
+    /// Count under other settings, known by this digest, from now on.
+    CountUnder {
+        digest: String,
+        settings: Box<Settings>,
+    },
     /// Compare what is held to be out with the connections that carry attempts.
     Compare,
 }
@@ -123,6 +130,16 @@
             }
             In::Hub(input) => self.hub.handle(now, input, &mut self.commands),
             In::Trace => self.trace(),
+            In::Tally => {
+                if let Some(counting) = self.hub.counting() {
+                    self.shared.tally.put(counting.tally().clone());
+                }
+            }
+            In::CountUnder { digest, settings } => {
+                if let Some(counting) = self.hub.counting() {
+                    counting.under(&digest, &self.shared.names.classes, &settings);
+                }
+            }
             In::Compare => self.compare(),
         }
         self.carry_out();
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::ask::Ask;
+use crate::counting::{Counting, End};
 use crate::leases::{Call, Leases, WAVE};
 use crate::list::{Directory, List};
 use crate::reach::Reach;
@@ -25,8 +26,8 @@
     Gone { id: ReqId },
     /// The first event of an attempt's stream is being passed on.
     First { id: ReqId, attempt: u32 },
-    /// An attempt has ended and its connection is closed or free.
-    Ended { id: ReqId, attempt: u32, outcome: Outcome, note: u64, report: Option<String> },
+    /// An attempt has ended and its connection is closed or free. `events`: of its stream, passed on.
+    Ended { id: ReqId, attempt: u32, outcome: Outcome, note: u64, report: Option<String>, events: u64 },
     /// A probe has ended.
     Probed { server: ServerId, outcome: Outcome, report: Option<String> },
     /// A list came from discovery.
@@ -154,6 +155,8 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     counts: Counts,
+    /// For an agent beside this node; `None` where nobody asked for it.
+    counting: Option<Counting>,
 }
 
 impl Hub {
@@ -175,6 +178,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             counts: Counts::default(),
+            counting: None,
             router: Router::new(settings, seed),
         }
     }
@@ -183,6 +187,15 @@
         self.counts
     }
 
+    /// Counts by class from now on, for an agent beside this node.
+    pub fn count(&mut self, counting: Counting) {
+        self.counting = Some(counting);
+    }
+
+    pub fn counting(&mut self) -> Option<&mut Counting> {
+        self.counting.as_mut()
+    }
+
     /// Requests that are open, and requests for which something may be held.
     pub fn held(&self) -> (usize, usize) {
         (self.open.len(), self.leases.len())
@@ -233,17 +246,20 @@
 
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Command>) {
         match input {
-            Input::Arrived { id, ask } => self.arrived(id, ask, out),
+            Input::Arrived { id, ask } => self.arrived(now, id, ask, out),
             Input::Gone { id } => {
                 if let Some(open) = self.open.get_mut(&id).filter(|open| !open.over) {
                     open.over = true;
                     self.counts.gone += 1;
+                    if let Some(counting) = &mut self.counting {
+                        counting.end(now, id, End::Gone);
+                    }
                     self.events.push_back(Event::ClientGone { id });
                 }
             }
             Input::First { id, attempt } => self.first(now, id, attempt),
-            Input::Ended { id, attempt, outcome, note, report } => {
-                self.ended(now, id, attempt, outcome, note, report.as_deref());
+            Input::Ended { id, attempt, outcome, note, report, events } => {
+                self.ended(now, id, attempt, outcome, note, report.as_deref(), events);
             }
             Input::Probed { server, outcome, report } => {
                 self.outcome(&server, outcome, now);
@@ -271,13 +287,16 @@
         self.run(now, out);
     }
 
-    fn arrived(&mut self, id: ReqId, ask: Ask, out: &mut Vec<Command>) {
+    fn arrived(&mut self, now: Time, id: ReqId, ask: Ask, out: &mut Vec<Command>) {
         if self.ids.contains_key(&ask.trace) {
             out.push(Command::Answer { id, last: Last::Open });
             out.push(Command::Forget { id });
             return;
         }
         self.counts.taken += 1;
+        if let Some(counting) = &mut self.counting {
+            counting.asked(now, id, ask.arrival.class, ask.arrival.prompt);
+        }
         self.ids.insert(ask.trace.clone(), id);
         let safe = self.safe.get(ask.arrival.class).copied().unwrap_or(false);
         let open = Open { trace: ask.trace, safe, attempts: 0, out: None, streaming: false, over: false };
@@ -290,11 +309,24 @@
         let Some(of) = open.out.as_ref().filter(|of| of.attempt == attempt) else { return };
         open.streaming = true;
         self.leases.taken(id);
+        if let Some(counting) = &mut self.counting {
+            counting.first(now, id);
+        }
         let (server, took) = (of.server.clone(), now.saturating_sub(of.sent));
         self.events.push_back(Event::Streaming { id, attempt, server, took });
     }
 
-    fn ended(&mut self, now: Time, id: ReqId, attempt: u32, outcome: Outcome, note: u64, told: Option<&str>) {
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        now: Time,
+        id: ReqId,
+        attempt: u32,
+        outcome: Outcome,
+        note: u64,
+        told: Option<&str>,
+        events: u64,
+    ) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(of) = open.out.take_if(|of| of.attempt == attempt) else { return };
         self.leases.wanted(id, false);
@@ -312,7 +344,15 @@
         let settled = outcome == Outcome::Served || open.streaming;
         if settled && !open.over {
             open.over = true;
-            if outcome == Outcome::Served { self.counts.served += 1 } else { self.counts.broken += 1 }
+            let served = outcome == Outcome::Served;
+            if served {
+                self.counts.served += 1
+            } else {
+                self.counts.broken += 1
+            }
+            if let Some(counting) = &mut self.counting {
+                counting.end(now, id, if served { End::Served { events } } else { End::Broken });
+            }
         }
         let settled = open.over;
         let load = told.and_then(|text| report::parse(text, &self.fields));
@@ -414,8 +454,8 @@
     fn act(&mut self, now: Time, action: Action, out: &mut Vec<Command>) {
         match action {
             Action::Send { id, server, timeout } => self.send(now, id, server, timeout, out),
-            Action::Refuse { id, retry_after } => self.answer(id, Last::Refused { retry_after }, out),
-            Action::Fail { id } => self.answer(id, Last::Failed, out),
+            Action::Refuse { id, retry_after } => self.answer(now, id, Last::Refused { retry_after }, out),
+            Action::Fail { id } => self.answer(now, id, Last::Failed, out),
             Action::Cancel { id, attempt } => out.push(Command::Cancel { id, attempt }),
             Action::Release { id } => {
                 for call in self.leases.release(id, now, self.let_go_by) {
@@ -455,11 +495,11 @@
         self.leases.wanted(id, true);
         match dial {
             Some(dial) => out.push(Command::Send { id, attempt, server, dial, timeout, harmless }),
-            None => self.ended(now, id, attempt, Outcome::NoConnection, 0, None),
+            None => self.ended(now, id, attempt, Outcome::NoConnection, 0, None, 0),
         }
     }
 
-    fn answer(&mut self, id: ReqId, last: Last, out: &mut Vec<Command>) {
+    fn answer(&mut self, now: Time, id: ReqId, last: Last, out: &mut Vec<Command>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if !open.over {
             open.over = true;
@@ -467,6 +507,10 @@
                 Last::Refused { .. } => self.counts.refused += 1,
                 _ => self.counts.failed += 1,
             }
+            if let Some(counting) = &mut self.counting {
+                let refused = matches!(last, Last::Refused { .. });
+                counting.end(now, id, if refused { End::Refused } else { End::Failed });
+            }
             out.push(Command::Answer { id, last });
         }
         self.forget(id, out);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! twice), and the delivery of a release until it is known to have reached an engine.
 
 pub mod ask;
+pub mod counting;
 pub mod hub;
 pub mod kept;
 pub mod leases;
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -1,6 +1,7 @@
 //! What a front node is told at its start, by the environment and its configuration file.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use elderstage::Settings;
 use elderstage::settings::{self, Names};
@@ -46,6 +47,31 @@
     pub names: Names,
     /// The list as this node last had it; may be old.
     pub known: List,
+    /// Where this node's counts are written for an agent beside it, and the release that they are counted under.
+    pub tally: Option<TallyTo>,
+}
+
+/// Where counts go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TallyTo {
+    pub file: PathBuf,
+    pub release: String,
+}
+
+/// Longest name of a release, in bytes: a digest's digits.
+const MOST_RELEASE: usize = 64;
+
+impl TallyTo {
+    fn parse(value: Option<&Value>) -> Result<Option<TallyTo>, StartError> {
+        let Some(value) = value.filter(|value| !value.is_null()) else { return Ok(None) };
+        let word = |key: &str| value.get(key).and_then(Value::as_str).filter(|word| !word.is_empty());
+        let file = word("file").ok_or_else(|| wrong("tally", value, "an object with a path as file"))?;
+        let release = word("release").unwrap_or(env!("CARGO_PKG_VERSION"));
+        if release.len() > MOST_RELEASE {
+            return Err(wrong("tally", value, "an object with a release of at most 64 bytes"));
+        }
+        Ok(Some(TallyTo { file: file.into(), release: release.into() }))
+    }
 }
 
 fn field<'a>(root: &'a Value, key: &'static str) -> Result<&'a Value, StartError> {
@@ -125,6 +151,7 @@
             settings: set,
             names,
             known,
+            tally: TallyTo::parse(root.get("tally"))?,
         })
     }
 
@@ -136,6 +163,9 @@
         if self.allowed != other.allowed {
             return Some("limits");
         }
+        if self.tally != other.tally {
+            return Some("tally");
+        }
         let differs = self.names != other.names || self.settings.me != other.settings.me;
         differs.then_some("names of classes, kinds, zones or tenants, or limits of sockets in the settings")
     }
--- a/crates/platform/src/stream.rs
+++ b/crates/platform/src/stream.rs
@@ -35,6 +35,8 @@
     marked: bool,
     cached: u64,
     report: Option<String>,
+    /// Events passed on.
+    events: u64,
 }
 
 /// What a stream came to.
@@ -44,6 +46,8 @@
     pub cached: u64,
     /// The text of a load report.
     pub report: Option<String>,
+    /// Events that were passed on.
+    pub events: u64,
 }
 
 impl Default for Stream {
@@ -55,7 +59,7 @@
 impl Stream {
     pub fn new() -> Stream {
         let body = Body::new(Framing::Chunked).with_most_chunk(MOST_CHUNK);
-        Stream { body, held: Vec::new(), marked: false, cached: 0, report: None }
+        Stream { body, held: Vec::new(), marked: false, cached: 0, report: None, events: 0 }
     }
 
     /// The last chunk has come.
@@ -70,7 +74,7 @@
 
     /// What its end told.
     pub fn told(self) -> Told {
-        Told { cached: self.cached, report: self.report }
+        Told { cached: self.cached, report: self.report, events: self.events }
     }
 
     /// Takes bytes, adds whole events to `out`, unchanged, and tells how many bytes belonged to the stream.
@@ -117,6 +121,7 @@
         // Comments are the engine's word to the node.
         if events {
             out.extend_from_slice(block);
+            self.events += 1;
         }
         Ok(())
     }
--- a/crates/platform/tests/hub.rs
+++ b/crates/platform/tests/hub.rs
@@ -67,7 +67,7 @@
     }
 
     fn end(&mut self, id: u32, attempt: u32, outcome: Outcome) -> Vec<Command> {
-        self.tell(Input::Ended { id: ReqId(id), attempt, outcome, note: 0, report: None })
+        self.tell(Input::Ended { id: ReqId(id), attempt, outcome, note: 0, report: None, events: 0 })
     }
 
     fn said(&mut self, id: u32, holder: &str, engine: &str, heard: bool) -> Vec<Command> {
@@ -289,3 +289,40 @@
     let Some(Last::Refused { retry_after }) = answer(&commands) else { panic!("{commands:?}") };
     assert!(retry_after <= 40 * MS, "{retry_after}");
 }
+
+/// What an agent beside the node is told: each request under its class, and in one end alone.
+#[test]
+fn requests_are_counted_by_class_and_end_once() {
+    use elderstage_platform::counting::Counting;
+    let mut world = World::with(example_settings());
+    world.hub.count(Counting::new("r1", "d1", &["chat".into()], &example_settings()));
+    let serve = |world: &mut World, id: u32, wait: Time| {
+        let (attempt, _) = sent(&world.arrive(id, &format!("s{id}"))).unwrap();
+        assert!(sent(&world.end(id, attempt, Outcome::Read)).is_some());
+        world.now += wait;
+        world.tell(Input::First { id: ReqId(id), attempt: attempt + 1 });
+        world.now += 80 * MS;
+        let (id, outcome, attempt) = (ReqId(id), Outcome::Served, attempt + 1);
+        world.tell(Input::Ended { id, attempt, outcome, note: 0, report: None, events: 5 });
+    };
+    serve(&mut world, 1, 10 * MS);
+    serve(&mut world, 2, 2_000 * MS);
+    world.arrive(3, "gone");
+    world.tell(Input::Gone { id: ReqId(3) });
+    let gone = ["reader", "spare", "writer"].map(|name| host(name, 0, 1, Listed::Gone)).into();
+    world.tell(Input::Listed { list: List { seq: 2, whole: false, hosts: gone }, restored: false });
+    world.hub.counting().unwrap().under("d2", &["chat".into()], &example_settings());
+    world.arrive(4, "refused");
+    world.pass(5_000 * MS);
+    let tally = world.hub.counting().unwrap().tally().clone();
+    let by: Vec<_> = tally.groups().map(|(key, counts)| (key.settings.as_str(), counts.clone())).collect();
+    assert_eq!((by.len(), by[0].0, by[1].0), (2, "d1", "d2"));
+    let first = &by[0].1;
+    assert_eq!((first.asked, first.in_time, first.late, first.gone), (3, 1, 1, 1));
+    assert_eq!((first.first_token.count(), first.token_gap.count()), (2, 2));
+    let gap = first.token_gap.quantile(0.5).unwrap();
+    assert!((16 * MS..=20 * MS).contains(&gap), "{gap}");
+    assert_eq!((by[1].1.asked, by[1].1.refused, by[1].1.ended()), (1, 1, 1));
+    let text = serde_json::to_string(&tally).unwrap();
+    assert_eq!(serde_json::from_str::<elderstage_tally::Tally>(&text).unwrap(), tally);
+}
--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -74,7 +74,7 @@
     let note = 0;
     hub.handle(
         now,
-        Input::Ended { id, attempt: 0, outcome: Outcome::Cancelled, note, report: None },
+        Input::Ended { id, attempt: 0, outcome: Outcome::Cancelled, note, report: None, events: 0 },
         &mut out,
     );
     let (begun, mut calls, mut heard_after) = (now, Vec::new(), None);
