--- a/crates/fleet/src/record/replica.rs
+++ b/crates/fleet/src/record/replica.rs
@@ -19,7 +19,7 @@
 /// Ticks by which the elections of two keepers differ, so that two rarely stand at the same time. Fixed and not
 /// drawn: the library draws from the thread's random numbers, which could not be replayed.
 const APART: usize = 5;
-/// Time of a tick, in microseconds: a leader is missed after 1 to 2 s, far over the longest delay between machines of
+/// Time of a tick, in microseconds: a leader is missed after 1.25 to 2.25 s, far over the longest delay between machines of
 /// one fleet, and a pause of a busy machine.
 pub const TICK: crate::Time = 50_000;
 /// A snapshot is made after so many entries or bytes; so many entries before it stay for keepers a little behind.
--- a/crates/fleet/src/record/state.rs
+++ b/crates/fleet/src/record/state.rs
@@ -13,6 +13,9 @@
 const MOST_PROPOSERS: usize = 4096;
 /// Changes that wait or are under way at most.
 const MOST_OPEN: usize = 256;
+/// Bytes of all proposals that are kept. Guards against a snapshot over the largest frame: a keeper far behind could never
+/// be brought up again.
+const MOST_BYTES: usize = 8 << 20;
 /// Ended changes that are still shown.
 const MOST_ENDED: usize = 64;
 /// Scopes at most.
@@ -143,6 +146,12 @@
                 if scopes.len() >= MOST_SCOPES && !scopes.contains(&proposal.scope) {
                     return refused("scope", format!("{MOST_SCOPES} scopes have changes already"));
                 }
+                if !self.make_room(proposal) {
+                    return refused(
+                        "queue",
+                        format!("the changes that wait hold {MOST_BYTES} bytes already"),
+                    );
+                }
                 let change = self.next_change;
                 self.next_change += 1;
                 let new = Change {
@@ -175,6 +184,21 @@
         }
     }
 
+    /// Whether there is room for one more, ended ones forgotten where it takes that.
+    fn make_room(&mut self, new: &Proposal) -> bool {
+        let size = |of: &Proposal| postcard::to_stdvec(of).map_or(MOST_BYTES, |bytes| bytes.len());
+        let mut all = size(new) + self.changes.values().map(|change| size(&change.proposal)).sum::<usize>();
+        while all > MOST_BYTES {
+            let ended = self.changes.values().find(|change| change.phase != Phase::Waiting);
+            let Some((number, bytes)) = ended.map(|change| (change.number, size(&change.proposal))) else {
+                break;
+            };
+            self.changes.remove(&number);
+            all -= bytes;
+        }
+        all <= MOST_BYTES
+    }
+
     fn forget_ended(&mut self) {
         let ended = |change: &&Change| change.phase != Phase::Waiting;
         let ended: Vec<u64> = self.changes.values().filter(ended).map(|change| change.number).collect();
--- a/crates/fleet/tests/record.rs
+++ b/crates/fleet/tests/record.rs
@@ -337,6 +337,25 @@
     assert!(world.up().iter().all(|of| world.keeper(*of).unwrap().replica().doubts().is_empty()));
 }
 
+/// Guards against a record that no frame can carry: a keeper far behind could not be brought up again.
+#[test]
+fn large_proposals_are_refused_before_a_snapshot_outgrows_a_frame() {
+    use elderstage_fleet::change::{What, digest_of};
+    use elderstage_fleet::record::{Command, Proposer, State};
+    let mut state = State::new(name("shop"));
+    let mut refused = 0;
+    for n in 0..100 {
+        let mut large = proposal("fronts", n);
+        let text = n.to_string().repeat(200_000 / n.to_string().len());
+        large.what = What::Settings { digest: digest_of(text.as_bytes()), text };
+        let proposer = Proposer { name: name("op"), run: n };
+        let command = Command { proposer, number: 1, order: Order::Propose(Box::new(large)) };
+        refused += u64::from(matches!(state.apply(n, &command), Outcome::Refused(_)));
+    }
+    assert!(refused > 0 && state.changes().count() > 30, "{refused}");
+    assert!(state.encode().len() < elderstage_fleet::wire::MOST_FRAME / 2);
+}
+
 /// What is wrong is refused at the door and by the record, and changes nothing.
 #[test]
 fn a_wrong_command_is_refused_and_changes_nothing() {
