Closes keep answers, silent watches are replaced in 3 s, lists may be spread over lines

Not tested by itself: the cut of a moved stream. A node test had once met another test's node on the same port; each node has an address of its own now.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -31,9 +31,13 @@
     }
 }
 
-/// A port that was free a moment ago.
+/// A port that was free a moment ago, at an address that no other test here uses: a client of one test was answered by
+/// another test's node when both had the same.
 fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let n = NEXT.fetch_add(1, Ordering::SeqCst);
+    let at = std::net::Ipv4Addr::from_bits(0x7f4d_0000 + n);
+    TcpListener::bind((at, 0)).unwrap().local_addr().unwrap()
 }
 
 /// On a port that is asked for. Another test may take it before the node does: the node ends then, and the next port is
@@ -516,6 +520,95 @@
     assert_eq!(sent.count(), 1);
 }
 
+/// The list that a node is started with may be old, and what its discovery holds counts as told from its first moment.
+#[test]
+fn a_node_is_ready_with_the_list_that_its_discovery_holds() {
+    let platform = Platform::start(1, 2).unwrap();
+    let health = |name: &str| if name == "writer-0" { "DRAINING" } else { "SERVING" };
+    platform.discovery.change(Platform::list(&platform.engines, health));
+    for n in 0..5 {
+        let node = start(&platform, |config| {
+            assert_eq!(config["known"]["hosts"][1]["health"], "SERVING", "the old list");
+        });
+        for m in 0..4 {
+            let answer = node.ask(&format!("first-{n}x{m}"), "plain");
+            assert!(whole(&answer), "node {n}, request {m}: {answer:?}");
+        }
+    }
+    let began = |seen: &elderstage_standin::platform::Seen| matches!(seen.pass, Pass::Begun { .. });
+    let seen = platform.traffic.seen();
+    assert!(!seen.iter().any(|seen| began(seen) && seen.engine == "writer-0"), "a draining engine was asked");
+}
+
+/// A client's end stands behind what it has sent meanwhile: one that had sent a part of its next request, or half of
+/// its bytes and its end, was not seen to be gone while its request waited, and the request was sent on for nobody.
+#[test]
+fn nothing_is_sent_on_for_clients_that_left_behind_more_bytes() {
+    let platform = Platform::start(1, 1).unwrap();
+    platform.discovery.silence(true);
+    // No engine is known, and the class waits long for one.
+    let node = start(&platform, |config| {
+        config["known"]["hosts"] = Value::Array(Vec::new());
+        config["settings"]["services"][0]["aim-us"] = 18_000_000.into();
+        config["settings"]["services"][0]["give-up-us"] = 20_000_000.into();
+    });
+    let more = chat("left-next", "plain", 18_000);
+    for (trace, rest) in [
+        ("left-plain", String::new()),
+        ("left-half", more[..more.len() / 2].to_owned()),
+        ("left-noise", "x".repeat(400_000)),
+    ] {
+        let mut client = node.client();
+        client.send(&chat(trace, "plain", 18_000));
+        client.send(&rest);
+    }
+    let mut client = node.client();
+    client.send(&chat("left-closed", "plain", 18_000));
+    client.send(&more[..20]);
+    client.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut stays = node.client();
+    stays.send(&chat("stays-1", "plain", 18_000));
+    std::thread::sleep(Duration::from_millis(500));
+    platform.discovery.silence(false);
+    platform.discovery.change(Platform::list(&platform.engines, |_| "SERVING"));
+    assert!(whole(&stays.answer()), "who stays is served");
+    assert!(whole(&node.ask("after-1", "plain")));
+    let seen = platform.traffic.seen();
+    let for_nobody = seen
+        .iter()
+        .filter(|seen| matches!(&seen.pass, Pass::Begun { trace, .. } if trace.starts_with("left-")));
+    assert_eq!(for_nobody.count(), 0);
+}
+
+/// A client that asks for its connection to end and has sent more than its request gets its answer to the end.
+#[test]
+fn an_answer_is_not_destroyed_by_what_its_client_sent_besides() {
+    let platform = Platform::start(1, 1).unwrap();
+    let node = start(&platform, |_| {});
+    for n in 0..10 {
+        let mut client = node.client();
+        let ask =
+            chat(&format!("more-bytes-{n}"), "plain", 4000).replace("Host:", "Connection: close\r\nHost:");
+        client.send(&(ask + &"x".repeat(300_000)));
+        assert!(whole(&client.answer()), "client {n}");
+        let end = client.stream.read(&mut [0; 16]);
+        assert!(matches!(end, Ok(0)), "client {n}: its end, and no reset: {end:?}");
+    }
+}
+
+/// A second answer that comes some milliseconds late must not pass for the next request's.
+#[test]
+fn a_second_answer_that_comes_late_is_nobodys() {
+    let platform = Platform::start(1, 1).unwrap();
+    let node = start(&platform, |_| {});
+    for n in 0..20 {
+        let answer = node.ask(&format!("more-later-{n}"), "plain");
+        assert!(whole(&answer), "request {n}: {answer:?}");
+        let answer = node.ask(&format!("after-later-{n}"), "plain");
+        assert!(whole(&answer), "request after {n}: {answer:?}");
+    }
+}
+
 /// What a line that can't be read told must not be lost: the watch begins anew with the whole list.
 #[test]
 fn a_list_that_cannot_be_read_is_asked_for_anew() {
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -256,6 +256,23 @@
         }
     }
 
+    /// Closes in good order: ends writing, then drops what the peer still sends until it ends too, for so long and so
+    /// many bytes at most. A close over unread bytes resets the connection, and the reset takes with it what the peer
+    /// has not read yet (RFC 9112, 9.6). What is read here was sent after our end and is nobody's request.
+    pub fn finish(mut self, time: Duration, most: usize) {
+        self.end();
+        let (until, mut dropped) = (Instant::now() + time, 0);
+        while dropped < most {
+            dropped += self.pending().len();
+            self.used(usize::MAX);
+            match self.fill_now() {
+                Ok(true) => {}
+                Ok(false) if Instant::now() < until => self.pause(Some(until)),
+                Ok(false) | Err(_) => return,
+            }
+        }
+    }
+
     /// Reads more from the peer.
     pub fn fill(&mut self) -> Result<(), NetError> {
         if self.at > 0 {
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -59,6 +59,7 @@
     io: CoIo<Arc<Door>>,
     place: Place,
     stop: Arc<AtomicBool>,
+    ending: Arc<AtomicBool>,
     /// Closed after it is no longer watched, as with connections.
     _last: Arc<Door>,
 }
@@ -66,11 +67,24 @@
 /// Ends a listener from outside.
 pub struct Stop {
     stop: Arc<AtomicBool>,
+    ending: Arc<AtomicBool>,
     waker: WaitIoWaker,
     door: std::sync::Weak<Door>,
 }
 
 impl Stop {
+    /// The listener takes what has connected already, then closes: a connection that the system has accepted and that
+    /// is reset with the socket may carry a whole request. To be called again until it has: one wake-up may be lost.
+    pub fn end(&self) {
+        self.ending.store(true, Ordering::SeqCst);
+        self.waker.wakeup();
+    }
+
+    /// Whether the listener has closed.
+    pub fn is_closed(&self) -> bool {
+        self.door.strong_count() == 0
+    }
+
     /// The listener accepts nothing more and closes. The path of a Unix socket stays, as after a process's death.
     pub fn stop(&self) {
         if !self.stop.swap(true, Ordering::SeqCst) {
@@ -131,7 +145,7 @@
     fn watched(door: Door, place: Place) -> io::Result<Listener> {
         let door = Arc::new(door);
         let io = CoIo::new(door.clone()).map_err(io::Error::from)?;
-        Ok(Listener { io, place, stop: Arc::new(AtomicBool::new(false)), _last: door })
+        Ok(Listener { io, place, stop: Arc::default(), ending: Arc::default(), _last: door })
     }
 
     /// Where it listens, with the port that the system gave.
@@ -148,7 +162,8 @@
     }
 
     pub fn stopper(&self) -> Stop {
-        Stop { stop: self.stop.clone(), waker: self.io.waker(), door: Arc::downgrade(&self._last) }
+        let (stop, ending) = (self.stop.clone(), self.ending.clone());
+        Stop { stop, ending, waker: self.io.waker(), door: Arc::downgrade(&self._last) }
     }
 
     /// Hands each connection to `each` until stopped. Must run in a coroutine. `short` is told when the system
@@ -162,6 +177,9 @@
                     Err(error) => short(&io::Error::other(error.to_string())),
                 },
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    if self.ending.load(Ordering::SeqCst) {
+                        break;
+                    }
                     self.io.wait_io();
                 }
                 Err(_) if self.stop.load(Ordering::SeqCst) => break,
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -22,10 +22,18 @@
 const IDLE: Duration = Duration::from_secs(6);
 /// A client that takes nothing for so long has gone.
 const WRITE: Duration = Duration::from_secs(5);
-/// After an error, what the client still sends is read and dropped for so long and so much, so that it can read the
-/// error: a close with unread bytes would destroy it on its way (RFC 9112, 9.6).
+/// What a client still sends after our end is read and dropped for so long and so much: a close over unread bytes would
+/// destroy an answer on its way.
 const LINGER: Duration = Duration::from_millis(400);
 const LINGER_BYTES: usize = 4 << 20;
+/// While the node ends, a connection that was accepted last has so long to bring the request that its client made it for.
+const ARRIVES: Duration = Duration::from_millis(300);
+/// Bytes read ahead of an answer without asking for memory; beyond, a whole request's room is asked for.
+const AHEAD: usize = 16 << 10;
+/// Most bytes dropped in one look at a client that floods; the rest waits for others' turn.
+const FLOOD: usize = 256 << 10;
+/// Pause before the next look at such a client.
+const FLOOD_PAUSE: Duration = Duration::from_millis(5);
 /// Pause between two looks for room for a body.
 const ROOM: Duration = Duration::from_millis(5);
 /// Most bytes of a head, and of a body.
@@ -35,13 +43,21 @@
 /// Microseconds in a second.
 const SECOND: f64 = 1e6;
 
+/// Serves a connection to its end, and closes it so that nothing that was written is destroyed by the close.
 pub fn serve(shared: &Arc<Shared>, mut conn: Conn, place: &Place) {
+    requests(shared, &mut conn, place);
+    // One that makes room was idle: its last answer was read long ago, and others wait for its place.
+    let makes_room = place.guest.must_leave() && !shared.closing();
+    conn.finish(if makes_room { Duration::ZERO } else { LINGER }, LINGER_BYTES);
+}
+
+fn requests(shared: &Arc<Shared>, conn: &mut Conn, place: &Place) {
     conn.limits = LIMITS;
     conn.set_write_timeout(Some(WRITE));
     let accepted = Instant::now();
     let mut first = true;
     loop {
-        if !begins(&mut conn, place, first, accepted) {
+        if !begins(shared, conn, place, first, accepted) {
             return;
         }
         place.busy();
@@ -50,23 +66,21 @@
         conn.set_deadline(Some(until));
         let head = match conn.request() {
             Ok(head) => head,
-            Err(NetError::Http(error)) => return refuse(&mut conn, error.status(), &error.to_string()),
-            Err(NetError::TimedOut) => return refuse(&mut conn, 408, "no whole request in time"),
+            Err(NetError::Http(error)) => return refuse(conn, error.status(), &error.to_string()),
+            Err(NetError::TimedOut) => return refuse(conn, 408, "no whole request in time"),
             Err(_) => return,
         };
         match ask::wanted(&head) {
             Ok(Wanted::Ready) => {
                 let status = if shared.ready.load(Ordering::SeqCst) { 200 } else { 503 };
                 let keep = head.keep_alive && !shared.closing();
-                if body(shared, &mut conn, &head, until).is_err()
-                    || !reply(&mut conn, status, None, "", keep)
-                    || !keep
-                {
+                let read = body(shared, conn, &head, until).is_ok();
+                if !(read && reply(conn, status, None, "", keep) && keep) {
                     return;
                 }
             }
             Ok(Wanted::Chat) => {
-                if !chat(shared, &mut conn, head, until) {
+                if !chat(shared, conn, head, until) {
                     return;
                 }
             }
@@ -74,9 +88,9 @@
                 // What is wrong with a head alone leaves the connection good, if no body follows.
                 let keep = head.framing == Framing::Length(0) && head.keep_alive && !shared.closing();
                 if !keep {
-                    return refuse(&mut conn, error.status(), &error.to_string());
+                    return refuse(conn, error.status(), &error.to_string());
                 }
-                if !reply(&mut conn, error.status(), None, &error.to_string(), true) {
+                if !reply(conn, error.status(), None, &error.to_string(), true) {
                     return;
                 }
             }
@@ -90,7 +104,7 @@
 }
 
 /// Waits for the first byte of a request. `false`: the connection is to be closed.
-fn begins(conn: &mut Conn, place: &Place, first: bool, accepted: Instant) -> bool {
+fn begins(shared: &Shared, conn: &mut Conn, place: &Place, first: bool, accepted: Instant) -> bool {
     let idle = Instant::now();
     loop {
         if conn.has_pending() {
@@ -102,31 +116,21 @@
             Err(_) => return false,
         }
         let now = Instant::now();
-        let until = if first { accepted + GRACE } else { idle + IDLE };
-        if now >= until || place.guest.must_leave() {
+        let mut until = if first { accepted + GRACE } else { idle + IDLE };
+        if place.guest.must_leave() {
+            until = if first && shared.closing() { until.min(accepted + ARRIVES) } else { now };
+        }
+        if now >= until {
             return false;
         }
         conn.pause(Some(until));
     }
 }
 
-/// Answers what can't be taken, and closes.
+/// Answers what can't be taken; its connection is to be closed.
 fn refuse(conn: &mut Conn, status: u16, why: &str) {
-    if !reply(conn, status, None, why, false) {
-        return;
-    }
-    conn.end();
-    let (until, mut dropped) = (Instant::now() + LINGER, 0);
-    while Instant::now() < until && dropped < LINGER_BYTES {
-        match conn.fill_now() {
-            Ok(true) => {
-                dropped += conn.pending().len();
-                conn.used(usize::MAX);
-            }
-            Ok(false) => conn.pause(Some(until)),
-            Err(_) => return,
-        }
-    }
+    // Whether the client is still there to read it is not ours to know.
+    let _ = reply(conn, status, None, why, false);
 }
 
 /// A short answer. `false`: the client has gone.
@@ -214,8 +218,48 @@
     kept
 }
 
+/// Whether a client that waits for its answer is still there. Its end stands behind whatever it has sent meanwhile, so
+/// that is read ahead: for the next request where there is memory for one, else to be dropped, and then its connection
+/// ends with this answer.
+#[derive(Default)]
+struct Ahead {
+    room: Option<crate::room::Room>,
+    dropped: bool,
+    /// There is more to be read than one look takes.
+    more: bool,
+}
+
+impl Ahead {
+    /// `true`: the client has gone.
+    fn look(&mut self, shared: &Shared, conn: &mut Conn) -> bool {
+        let mut flood = 0;
+        self.more = false;
+        loop {
+            let held = conn.pending().len();
+            if held > AHEAD && self.room.is_none() && !self.dropped {
+                self.room = shared.bodies.take(LIMITS.body);
+                self.dropped = self.room.is_none();
+            }
+            if held > LIMITS.head + LIMITS.body || self.dropped {
+                self.dropped = true;
+                flood += held;
+                conn.used(usize::MAX);
+            }
+            if flood > FLOOD {
+                self.more = true;
+                return false;
+            }
+            match conn.fill_now() {
+                Ok(true) => {}
+                Ok(false) => return false,
+                Err(_) => return true,
+            }
+        }
+    }
+}
+
 fn answer(shared: &Arc<Shared>, conn: &mut Conn, seat: &Seat, id: ReqId, keep: bool) -> bool {
-    let (mut begun, mut out) = (false, Vec::new());
+    let (mut begun, mut out, mut ahead) = (false, Vec::new(), Ahead::default());
     loop {
         let mut whole = false;
         out.clear();
@@ -238,7 +282,7 @@
                     return false;
                 }
                 Mail::Last(last) => {
-                    let keep = keep && !shared.closing();
+                    let keep = keep && !shared.closing() && !ahead.dropped;
                     let kept = match last {
                         Last::Refused { retry_after: 0 } => reply(conn, 503, None, "turned away", keep),
                         Last::Refused { retry_after } => {
@@ -252,13 +296,13 @@
                 }
             }
         }
-        if (!out.is_empty() && conn.write(&out).is_err()) || (!whole && conn.is_closed()) {
+        if (!out.is_empty() && conn.write(&out).is_err()) || (!whole && ahead.look(shared, conn)) {
             shared.tell(In::Hub(Input::Gone { id }));
             return false;
         }
         if whole {
-            return keep && !shared.closing();
+            return keep && !shared.closing() && !ahead.dropped;
         }
-        conn.pause(None);
+        conn.pause(ahead.more.then(|| Instant::now() + FLOOD_PAUSE));
     }
 }
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -175,6 +175,9 @@
             Ok(false) => {}
             Err(_) => return Err(Cut::Broken),
         }
+        if job.is_some_and(|job| job.seat.is_cut()) {
+            return Ok(());
+        }
         if Instant::now() >= until {
             return Err(Cut::TimedOut);
         }
@@ -276,6 +279,13 @@
             let (outcome, note, events) = (Outcome::Served, said.cached, said.events);
             return Ok((End { outcome, note, report, begun, events }, good));
         }
+        if job.seat.is_cut() {
+            // What the engine has written by now still goes on: a stream that it has finished is whole.
+            match link.conn().fill_now() {
+                Ok(true) => continue,
+                _ => return Ok((End { outcome: Outcome::Cancelled, ..broken(begun) }, false)),
+            }
+        }
         while !job.seat.has_room() && !job.seat.is_closed() && !job.seat.is_cancelled(job.attempt) {
             link.conn().pause(Some(Instant::now() + CLIENT_WAIT));
             until = Instant::now() + SILENT;
--- a/crates/node/src/guests.rs
+++ b/crates/node/src/guests.rs
@@ -13,6 +13,10 @@
 /// A connection without a request is anybody's to close after this time; the platform's figure and a little.
 pub const GRACE: Duration = Duration::from_millis(2_100);
 
+/// Connections over the bound: those that come in before the ones that make room for them have closed. The node's own
+/// descriptors hold room for them.
+pub const LEAVING: usize = 16;
+
 /// One connection.
 pub struct Guest {
     /// Microseconds since the start at which it last became idle; [`BUSY`] while it has a request.
@@ -38,6 +42,15 @@
     all: Mutex<HashMap<usize, Arc<Guest>>>,
 }
 
+/// What becomes of a connection that comes in.
+pub enum Entry {
+    Place(Place),
+    /// There will be one when those that were asked to leave have.
+    Soon,
+    /// All places are taken by requests.
+    Full,
+}
+
 /// A place among them, given back when dropped.
 pub struct Place {
     of: Arc<Guests>,
@@ -84,14 +97,15 @@
 
     /// A place for a connection. When all are taken, the one that has been idle longest is asked to leave; where none
     /// is idle there is none.
-    pub fn enter(self: &Arc<Guests>, waker: Waker) -> Option<Place> {
+    pub fn enter(self: &Arc<Guests>, waker: Waker) -> Entry {
         let mut all = self.all();
+        let is_idle = |guest: &Arc<Guest>| guest.idle_since.load(Ordering::SeqCst) != BUSY;
         if all.len() >= self.most {
-            let idle = all.values().filter(|guest| !guest.must_leave());
-            let oldest = idle.min_by_key(|guest| guest.idle_since.load(Ordering::SeqCst))?;
-            if oldest.idle_since.load(Ordering::SeqCst) == BUSY {
-                return None;
-            }
+            let leave = all.values().any(|guest| guest.must_leave() && is_idle(guest));
+            let none = if leave { Entry::Soon } else { Entry::Full };
+            let stay = all.values().filter(|guest| !guest.must_leave() && is_idle(guest));
+            let oldest = stay.min_by_key(|guest| guest.idle_since.load(Ordering::SeqCst));
+            let Some(oldest) = oldest.filter(|_| all.len() < self.most + LEAVING) else { return none };
             oldest.leave.store(true, Ordering::SeqCst);
             oldest.waker.wake();
         }
@@ -103,7 +117,7 @@
         let key = self.next.fetch_add(1, Ordering::Relaxed);
         all.insert(key, guest.clone());
         drop(all);
-        Some(Place { of: self.clone(), key, guest })
+        Entry::Place(Place { of: self.clone(), key, guest })
     }
 
     /// Asks all that have no request to leave.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,7 +21,7 @@
 
 use elderstage::settings::Names;
 use elderstage_net::owner::{Clock, Inbox, queue, run};
-use elderstage_net::{Conn, Listener, go, init_small};
+use elderstage_net::{Conn, Listener, go, init_small, sleep};
 use elderstage_platform::counting::Counting;
 use elderstage_platform::hub::{Hub, Input};
 use elderstage_platform::start::{Companions, Start, StartError};
@@ -30,7 +30,7 @@
 use thiserror::Error;
 
 use beliefs::Carrying;
-use guests::Guests;
+use guests::{Entry, Guests};
 use owner::{In, Owner};
 use pool::Pool;
 use room::Rooms;
@@ -44,6 +44,11 @@
 const KILL_COUNTS: Duration = Duration::from_secs(3);
 const KILL_AFTER: Duration = Duration::from_millis(700);
 const KILL_MARGIN: Duration = Duration::from_millis(150);
+/// The list that a node knows at its start may be old, and what its discovery has counts as told at once: a node is ready
+/// with the first list, or after this time if discovery is silent.
+const FIRST_LIST: Duration = Duration::from_millis(600);
+/// Pause between two looks for the place of a connection that was asked to leave.
+const LEAVES: Duration = Duration::from_millis(1);
 /// How often the main thread looks for signals and at what is to be tidied.
 const TICK: Duration = Duration::from_millis(20);
 /// How often idle connections are looked at, and the state is written to the log.
@@ -76,6 +81,8 @@
     carrying: Arc<Carrying>,
     next_id: AtomicU32,
     ready: AtomicBool,
+    /// Discovery has told a list.
+    listed: AtomicBool,
     /// Connections are closed after their answer.
     closing: AtomicBool,
     open: AtomicUsize,
@@ -142,6 +149,7 @@
         inbox,
         next_id: AtomicU32::new(1),
         ready: AtomicBool::new(false),
+        listed: AtomicBool::new(false),
         closing: AtomicBool::new(false),
         open: AtomicUsize::new(0),
         letting_go: AtomicUsize::new(0),
@@ -165,13 +173,18 @@
         listener
             .serve(|conn| accept(&accepting, conn), |error| tracing::warn!(target: "node", %error, "accept"))
     });
-    let watching = shared.clone();
-    go(move || discovery::watch(&watching, seq));
-    shared.ready.store(true, Ordering::SeqCst);
-    tracing::info!(target: "node", name = %start.name, listen = %start.listen, ?shares, "ready");
+    let (watching, begun) = (shared.clone(), Instant::now());
+    go(move || discovery::watch(&watching, clock, seq));
     let (mut term, mut quiet): (Option<Instant>, Option<Instant>) = (None, None);
     let (mut tidy, mut trace) = (Instant::now(), Instant::now());
     loop {
+        if !shared.ready.load(Ordering::SeqCst)
+            && (shared.listed.load(Ordering::SeqCst) || begun.elapsed() >= FIRST_LIST)
+        {
+            shared.ready.store(true, Ordering::SeqCst);
+            let listed = shared.listed.load(Ordering::SeqCst);
+            tracing::info!(target: "node", name = %start.name, listen = %start.listen, ?shares, listed, "ready");
+        }
         for signal in signals.pending() {
             match signal {
                 SIGHUP => reload(&shared, &start, path, besides),
@@ -196,15 +209,17 @@
             shared.tell(In::Trace);
         }
         if let Some(at) = term.filter(|at| at.elapsed() >= STILL_ACCEPTS) {
+            // Until it has closed: what has connected before is taken.
+            stop.end();
             if !shared.closing.swap(true, Ordering::SeqCst) {
-                stop.stop();
                 shared.guests.dismiss_idle();
                 let all = longest.min(KILL_COUNTS) + KILL_AFTER;
                 let within = all.saturating_sub(at.elapsed() + KILL_MARGIN).as_micros() as u64;
                 shared.tell(In::Hub(Input::Stopping { within }));
                 tracing::info!(target: "node", after_ms = at.elapsed().as_millis() as u64, "accepts no more");
             }
-            let busy = shared.open.load(Ordering::SeqCst) > 0
+            let busy = !stop.is_closed()
+                || shared.open.load(Ordering::SeqCst) > 0
                 || shared.letting_go.load(Ordering::SeqCst) > 0
                 || !shared.guests.is_empty()
                 || shared.inbox.waiting() > 0;
@@ -223,8 +238,15 @@
 }
 
 fn accept(shared: &Arc<Shared>, conn: Conn) {
-    // Where all places are taken by requests there is no descriptor left for another.
-    let Some(place) = shared.guests.enter(conn.waker()) else { return };
+    let place = loop {
+        match shared.guests.enter(conn.waker()) {
+            Entry::Place(place) => break place,
+            // Those that come after it wait with the system.
+            Entry::Soon => sleep(LEAVES),
+            // Where all places are taken by requests there is no descriptor left for another.
+            Entry::Full => return,
+        }
+    };
     let shared = shared.clone();
     go(move || client::serve(&shared, conn, &place));
 }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -75,7 +75,7 @@
             }
             Command::Move { id } => {
                 if let Some(seat) = self.seats.get(&id) {
-                    seat.post(Mail::Cut);
+                    seat.cut();
                 }
             }
             Command::Answer { id, last } => {
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -14,6 +14,9 @@
 
 /// Share of the engines' idle limit after which a connection is not used again.
 const IDLE_SHARE: u32 = 2;
+/// A connection rests for so long before it is used again: a spoilt engine's second answer may come some milliseconds
+/// after the first, and on a connection that carries the next request already it would pass for that one's answer.
+const REST: Duration = Duration::from_millis(30);
 /// Idle limit where the settings tell none.
 const IDLE: Duration = Duration::from_secs(5);
 
@@ -117,7 +120,10 @@
         while self.kept().may_use(harmless) {
             let idle = {
                 let mut all = self.idle();
-                let of = all.get_mut(&at).and_then(Vec::pop);
+                let of = all.get_mut(&at).and_then(|of| {
+                    let rested = of.iter().rposition(|idle| idle.since.elapsed() >= REST)?;
+                    Some(of.remove(rested))
+                });
                 all.retain(|_, of| !of.is_empty());
                 of
             };
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/seat.rs
@@ -31,6 +31,8 @@
     attempt: Option<(u32, Waker)>,
     /// Attempts below this number are given up.
     cancelled: u32,
+    /// The stream is to be cut, so that its client asks for the rest elsewhere.
+    cut: bool,
 }
 
 /// What of a request goes to engines.
@@ -128,6 +130,19 @@
         }
     }
 
+    /// Cuts the running stream: its attempt passes on what has come by now, and its end if that has.
+    pub fn cut(&self) {
+        let mut inner = self.inner();
+        inner.cut = true;
+        if let Some((_, waker)) = &inner.attempt {
+            waker.wake();
+        }
+    }
+
+    pub fn is_cut(&self) -> bool {
+        self.inner().cut
+    }
+
     pub fn is_cancelled(&self, attempt: u32) -> bool {
         attempt < self.inner().cancelled
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,3 +17,5 @@
 pub mod report;
 pub mod start;
 pub mod stream;
+pub mod values;
+pub mod watch;
--- /dev/null
+++ b/crates/platform/src/watch.rs
@@ -0,0 +1,93 @@
+//! The watch on discovery, free of I/O: what its bytes tell, when it is held to be broken, and when it is taken up anew.
+//!
+//! One clock for silence. The head of an answer comes at once, since the agent is on the node's own machine, and an empty
+//! line at least every [`BEAT`]; a watch that keeps to neither is broken, whatever TCP says of its connection, and what
+//! it misses counts as told a few seconds later. While discovery is down its agent is silent, and what that learns at the
+//! return counts at once: so a new watch is tried all the time. Tries are [`APART`] from beginning to beginning, so that
+//! one that is ended as soon as it is opened does not keep the node busy. At 350 nodes each talks to an agent of its own.
+
+use elderstage::Time;
+use elderstage::settings::Names;
+use thiserror::Error;
+
+use crate::list::{Directory, List, ListError};
+use crate::values::{Found, NoValue, Values};
+
+/// Wait for the head of an answer.
+const HEAD: Time = 300_000;
+/// An empty line comes as often, where nothing changes.
+const BEAT: Time = 2_000_000;
+/// What a line may be late on a busy machine. With the wait for a new head a broken watch is replaced within 3 s.
+const LATE: Time = 500_000;
+/// Least time between the beginnings of two tries.
+const APART: Time = 100_000;
+
+/// Why a watch is of no more use.
+#[derive(Debug, Error)]
+pub enum Spoilt {
+    #[error("a list that can't be read: {0}")]
+    List(#[from] ListError),
+    #[error("a list that can't be read: {0}")]
+    Value(#[from] NoValue),
+}
+
+/// One watch after the other.
+#[derive(Debug)]
+pub struct Watch {
+    seq: u64,
+    values: Values,
+    begun: Time,
+    until: Time,
+}
+
+impl Watch {
+    /// `seq`: version of the list that the node knows; 0 for none.
+    pub fn new(seq: u64) -> Watch {
+        Watch { seq, values: Values::default(), begun: 0, until: 0 }
+    }
+
+    /// A watch is being opened; it is to be asked for from this version on.
+    pub fn begin(&mut self, now: Time) -> u64 {
+        self.values = Values::default();
+        (self.begun, self.until) = (now, now + HEAD);
+        self.seq
+    }
+
+    /// The head of its answer has come.
+    pub fn answered(&mut self, now: Time) {
+        self.until = now + BEAT + LATE;
+    }
+
+    /// Bytes of its body have come: the lists that are whole. After an error the next watch begins with the whole list,
+    /// so that nothing is lost that this one told.
+    pub fn take(&mut self, now: Time, bytes: &[u8], names: &Names) -> Result<Vec<List>, Spoilt> {
+        let mut lists = Vec::new();
+        self.values.push(bytes);
+        let taken = self.lists(now, names, &mut lists);
+        taken.inspect_err(|_| self.seq = 0)?;
+        Ok(lists)
+    }
+
+    fn lists(&mut self, now: Time, names: &Names, lists: &mut Vec<List>) -> Result<(), Spoilt> {
+        while let Some(found) = self.values.next_found()? {
+            // Half a list that never ends is no sign of life.
+            self.until = now + BEAT + LATE;
+            if let Found::Object(text) = found {
+                let list = Directory::parse(&text, names)?;
+                self.seq = list.seq;
+                lists.push(list);
+            }
+        }
+        Ok(())
+    }
+
+    /// When it is broken, if nothing whole comes before.
+    pub fn until(&self) -> Time {
+        self.until
+    }
+
+    /// It has ended or is broken: when the next one may be opened.
+    pub fn again(&self, now: Time) -> Time {
+        now.max(self.begun + APART)
+    }
+}
--- a/crates/standin/src/platform/engine.rs
+++ b/crates/standin/src/platform/engine.rs
@@ -13,6 +13,8 @@
 /// Events of an answer, and the pause between two.
 const EVENTS: usize = 6;
 const PAUSE: Duration = Duration::from_millis(5);
+/// A second answer that comes late comes so long after the first.
+const LATER: Duration = Duration::from_millis(4);
 /// A connection that brings nothing for so long is closed.
 const IDLE: Duration = Duration::from_secs(15);
 /// Time after which an answer that never comes is given up here, too.
@@ -212,6 +214,18 @@
         }
         self.traffic.end(trace, number);
         let sent = stream.write_all(&out).is_ok();
+        if case == "more-later" {
+            // On a thread of its own: the next request on this connection may be here before it.
+            let copy = stream.try_clone();
+            std::thread::spawn(move || {
+                std::thread::sleep(LATER);
+                let mut out = Vec::new();
+                http::write_stream_head(200, &[("content-type", "text/event-stream")], &mut out);
+                http::write_chunk(b"data: {\"of\":\"nobody\"}\n\ndata: [DONE]\n\n", &mut out);
+                out.extend_from_slice(http::LAST_CHUNK);
+                copy.and_then(|mut copy| copy.write_all(&out))
+            });
+        }
         (if sent { How::Served } else { How::MayHaveRun }, sent)
     }
 }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -20,8 +20,9 @@
         self.gap += step * (since as f64 - self.gap);
         self.came = now;
         let id = ask.id;
-        let request =
-            Request { arrived: now, deadline: now + ask.time_left, aim, over, ask, ..Request::default() };
+        // Guards against answers due after this front has ended.
+        let deadline = (now + ask.time_left).min(self.stop.map_or(Time::MAX, |(_, _, end)| end));
+        let request = Request { arrived: now, deadline, aim, over, ask, ..Request::default() };
         self.requests.insert(id, request);
     }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -997,6 +997,22 @@
 }
 
 /// A read that ends without a word may have left its state at the reader: it is let go before anything else.
+/// A request that came late after the word to end, with all of its client's time, was still held or out when the
+/// platform ended the front: it got no answer at all.
+#[test]
+fn what_comes_after_the_word_to_end_is_answered_before_the_end() {
+    let mut bench = Bench::new(&["r0", "w0"]);
+    bench.teach();
+    bench.pass(Event::Stopping { within: 1_500 * MS });
+    bench.wait(500 * MS);
+    let ask = Arrival { time_left: 6_000 * MS, ..arrival(1, 1_000.0) };
+    let reader = sent_to(&bench.pass(Event::Arrived(ask))).unwrap();
+    let done = bench.wait(900 * MS);
+    bench.now += 50 * MS;
+    let done = [done, bench.end(1, 0, &reader, Outcome::TimedOut, 0)].concat();
+    assert_eq!(final_answers(&done, 1), 1, "{done:?}");
+}
+
 #[test]
 fn an_unclear_read_is_let_go() {
     for outcome in [Outcome::Broken, Outcome::TimedOut, Outcome::Cancelled, Outcome::Error] {
