--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -40,8 +40,7 @@
     /// leaves the next its turn: guards against a home that has fallen silent.
     fn first_of(&self, now: Time, ask: &Arrival, of: &[&View], takes: impl Fn(&View) -> bool) -> Step {
         let wait = (PROBE_WAIT * self.least_aim()) as Time;
-        let home = |view: &&View| ask.session.as_ref().is_some_and(|key| view.kept.contains_key(key));
-        let (mut told, most) = (0, if of.iter().any(home) { 1 } else { PROBES });
+        let (mut told, most) = (0, if ask.session.is_some() { 1 } else { PROBES });
         for view in of {
             if self.may_ask && told >= most {
                 break;
