--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -98,8 +98,8 @@
             (wary(view), self.may_ask && !self.cold(view, now), away, times.round() as u64, home)
         };
         readers.sort_by_cached_key(rank);
-        // Rule 1: an idle reader, unless so many reads by others are to be expected since its report that some
-        // would wait: guards against herds there.
+        // Rule 1: an idle reader, unless so many reads by others are to be expected since its report that
+        // some would wait: guards against herds there.
         let crowd = self.others() > RUNNING;
         let idle = |v: &View| !crowd && v.jobs.is_empty() && self.ahead(v, now) < LEAST_READ;
         // Rule 2: a running reader with nothing waiting that will be on time. No predicted end has passed,
