A cold server's part is of all that run, so that fronts started in a release keep its limit

Server (s-, a reader) was listed 3 s after its start and sent 29 reads in 0.64 s, 15 of them in the first 60 ms. All 24 senders that were looked up had been restarted at 11.5, 13.1 or 14.8 s, none of those that ran since the start was among them. Ruled out: lists that came late (all knew the start), retries (all were first attempts). Fault: Router::totals counted only servers that were no longer cold, so a front restarted while all readers were being replaced saw no warm weight, and cold_turn took one reader for the whole of its role: chance 0.67 each.

Change: by role the most weight that runs is what parts are of.

--- a/src/policy/guards.rs
+++ b/src/policy/guards.rs
@@ -35,6 +35,7 @@
     /// Guards a server that has just started: an attempt may go there by a chance, so that any number of
     /// fronts together send it a part of what a warm server of its size answers. A state has only the writers
     /// of its cell, which may have far more than its part: the mean of both. No prompt alone makes it fall.
+    /// Parts are of all that run: guards against fronts that start in a release and see none warm.
     fn cold_turn(&self, view: &View, request: &Request, now: Time) -> bool {
         if !self.cold(view, now) {
             return true;
@@ -42,7 +43,7 @@
         let (sent, answered) = self.flow[view.role as usize];
         let from = request.state.as_ref().and_then(|(at, _)| Some(self.views.get(at)?.entry.cell));
         let even = |of: f64| view.entry.weight / of.max(view.entry.weight);
-        let all = even(from.map_or(self.warm[view.role as usize], |_| self.paired.values().sum()));
+        let all = even(from.map_or(self.most[view.role as usize], |_| self.paired.values().sum()));
         let cell = self.paired.get(&view.entry.cell).filter(|_| from == Some(view.entry.cell));
         let near = cell.map_or(all, |cell| even(*cell));
         let able = self.set.fall_multiple * self.set.cold_from * (answered + 1.0) / (sent + 1.0);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,8 +20,8 @@
     views: BTreeMap<ServerId, View>,
     requests: BTreeMap<ReqId, Request>,
     fits: [Line; 4],
-    /// By role: the most weight of warm servers seen at once; our sends and their answers, older ones fading.
-    warm: [f64; 3],
+    /// By role: the most running weight seen at once; our sends and their answers, older ones fading.
+    most: [f64; 3],
     flow: [(f64, f64); 3],
     quota: Vec<(f64, Time)>,
     /// Mean time between our requests, and when the last one came.
@@ -72,7 +72,7 @@
             }
             Event::Timer { .. } | Event::Place { .. } => {}
         }
-        self.totals(now);
+        self.totals();
         self.dispatch_held(now, new, out);
         if let Some(id) = new.filter(|id| self.held().any(|held| held == *id) && self.closing(now, *id)) {
             self.finish(now, id, out);
--- a/src/policy/monitor.rs
+++ b/src/policy/monitor.rs
@@ -28,19 +28,19 @@
         self.views.retain(|_, view| view.entry.listed != Listed::Gone || !view.jobs.is_empty());
     }
 
-    pub(super) fn totals(&mut self, now: Time) {
-        let (mut warm, mut readers, mut writers) = ([0.0; 3], BTreeMap::new(), BTreeMap::new());
+    pub(super) fn totals(&mut self) {
+        let (mut all, mut readers, mut writers) = ([0.0; 3], BTreeMap::new(), BTreeMap::new());
         for view in self.views.values().filter(|v| v.entry.listed == Listed::Running) {
             let cells = if view.role == Role::Prefill { &mut readers } else { &mut writers };
             *cells.entry(view.entry.cell).or_insert(0.0) += view.entry.weight;
-            warm[view.role as usize] += if self.cold(view, now) { 0.0 } else { view.entry.weight };
+            all[view.role as usize] += view.entry.weight;
         }
         (self.readers, self.writers) = (readers, writers);
         for (cell, now) in &self.writers {
             self.paired.entry(*cell).and_modify(|most| *most = most.max(*now)).or_insert(*now);
         }
-        for (most, warm) in self.warm.iter_mut().zip(warm) {
-            *most = most.max(warm);
+        for (most, all) in self.most.iter_mut().zip(all) {
+            *most = most.max(all);
         }
     }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1161,6 +1161,25 @@
     assert!(to.is_some_and(|to| to.starts_with('r')));
 }
 
+/// In a release that replaced all readers, fronts that were restarted saw none warm, and each thought that a reader that
+/// had just come was to take what all take: 29 reads in 0.6 s, and it fell.
+#[test]
+fn fronts_that_start_in_a_release_keep_a_cold_reader_within_its_limit() {
+    let names: Vec<String> = (0..24).map(|n| format!("r1{n}")).chain(["w1".into(), "w2".into()]).collect();
+    let (mut one, mut all) = (0, 0);
+    for me in 0..350 {
+        let mut bench = one_of_many(me, &[]);
+        let start = |name: &String| if name.starts_with('r') { bench.now - 1_000 * MS } else { 0 };
+        let entries = names.iter().map(|name| entry(name, Listed::Running, start(name))).collect();
+        bench.list(ListMode::Full, entries);
+        let reader = bench.read_told(&names, me, format!("s{me}"));
+        (all, one) = (all + 1, one + u32::from(reader.as_deref() == Some("r17")));
+    }
+    // The limit of the rule is 3 x 0.3 of what one of 24 readers takes.
+    let limit = 0.9 * f64::from(all) / 24.0;
+    assert!((1.0..=limit).contains(&f64::from(one)), "{one} of {all}");
+}
+
 /// A chance reckoned among all writers, where a state has only those of its cell, left new writers cold.
 #[test]
 fn a_cold_writer_gets_its_part_of_the_states_of_its_cell() {
