--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -36,25 +36,20 @@
     }
 
     /// The first of these servers that takes a read, each asked for its load before it is passed over. No
-    /// answer counts as busy (guards against fronts that see an idle fleet as they have nothing out) and
-    /// leaves the next its turn. From one that has told a session goes on in its cell alone: guards against
-    /// reads drawn to cells that idle for want of writers.
+    /// answer counts as busy: guards against fronts that see an idle fleet because they have nothing out. It
+    /// leaves the next its turn: guards against a home that has fallen silent.
     fn first_of(&self, now: Time, ask: &Arrival, of: &[&View], takes: impl Fn(&View) -> bool) -> Step {
         let wait = (PROBE_WAIT * self.least_aim()) as Time;
-        let (mut told, mut cell) = (0, None);
+        let (mut told, most) = (0, if ask.session.is_some() { 1 } else { PROBES });
         for view in of {
-            if self.may_ask && told >= PROBES {
+            if self.may_ask && told >= most {
                 break;
             }
-            if cell.is_some_and(|cell| cell != view.entry.cell) {
-                continue;
-            }
             if self.fresh(view, now) {
                 if takes(view) {
                     return Step::Take(view.entry.server.clone());
                 }
                 told += 1;
-                cell = (self.may_ask && ask.session.is_some()).then_some(view.entry.cell);
             } else if now >= view.probed + (FRESH * self.least_aim()) as Time {
                 return Step::Ask(Some(view.entry.server.clone()));
             } else if now < view.probed + wait {
--- a/src/policy/monitor.rs
+++ b/src/policy/monitor.rs
@@ -66,10 +66,10 @@
         }
     }
 
-    /// What has not ended yet bounds the pace from below (a fit lags). Unseen, a whole read is a reader's.
+    /// What has not ended yet bounds the pace from below: guards against a lagging fit.
     pub(super) fn predict(&self, view: &View, kind: Kind, x: f64, now: Time) -> f64 {
         let unseen = kind == Kind::Whole && self.fits[Kind::Whole as usize].0[0] == 0.0;
-        let common = self.fits[if unseen { Kind::Read } else { kind } as usize].at(x);
+        let common = if unseen { WRITER_READS * self.fits[0].at(x) } else { self.fits[kind as usize].at(x) };
         let behind = view.waiting().filter(|job| job.kind == kind).map(|job| {
             let wanted = (job.due.saturating_sub(job.sent) as f64).max(1.0);
             now.saturating_sub(job.sent) as f64 / wanted
@@ -190,12 +190,11 @@
     }
 
     /// Whole reads go to a writer by turns drawn at random, about as many as the slack gained at the nominal
-    /// pace pays for, more where fronts like us have less than one request in that time. Guards against
-    /// fronts, blind to each other's streams, that each send a first at once.
+    /// pace pays for. Guards against fronts, blind to each other's streams, that each send a first at once.
     pub(super) fn turn(&self, view: &View, time: f64, now: Time) -> bool {
-        let span = (time / (1.0 - NOMINAL)).max(1.0);
-        let draw = hash(&view.entry.server.0, &format!("{} {}", self.set.me, now / span as Time));
-        unit(draw) * f64::from(self.set.fronts) <= TURNS * (self.gap / span).max(1.0)
+        let slot = now / (time / (1.0 - NOMINAL)).max(1.0) as Time;
+        let draw = hash(&view.entry.server.0, &format!("{} {slot}", self.set.me));
+        unit(draw) * f64::from(self.set.fronts) <= TURNS
     }
 
     /// What the streams of a writer have gained on their TPOT aim at the nominal pace.
--- a/src/policy/tunables.rs
+++ b/src/policy/tunables.rs
@@ -58,7 +58,8 @@
 pub(super) const HOMES: f64 = 4.0;
 /// Servers keep texts in blocks: a shared text of which less than this share was found is gone.
 pub(super) const FOUND: f64 = 0.5;
-/// Servers that tell their load before a rule counts as not met. Writers asked while a reader reads.
+/// Servers that tell their load before a rule counts as not met, only one where a text has its home: the next
+/// reads it anew, which costs all more than it gains this one. Writers asked while a reader reads.
 pub(super) const PROBES: usize = 3;
 pub(super) const PROBES_NEAR: usize = 2;
 /// Shares of the shortest TTFT aim that a report of waiting work is news for, and a probe may take.
@@ -67,6 +68,8 @@
 /// A reader with more reported work than this many mean reads has some that waits; so may one that is called
 /// idle, where as many reads by others are to be expected since.
 pub(super) const RUNNING: f64 = 8.0;
+/// Until a writer's read has been seen, it is held to take this many times a reader's.
+pub(super) const WRITER_READS: f64 = 3.0;
 /// Reported waiting work that makes a writer full, as a share of its KV tokens.
 pub(super) const QUEUED: f64 = 0.03;
 /// Tokens below which a shorter read gains nothing.
