A wait's new limit is no longer lost as an older one comes up in the list

Cause: the thread that keeps time limits read when a wait ends and where it is listed apart from the connection that moves them (net/src/watch.rs): a limit that became nearer between its two looks was listed under the old one, or dropped, and the wait ended only with the next byte. Any deadline of the node could be missed so. Change: both stand under one lock, which is the one point of decision; writing can be given up while a peer takes nothing (write_while). Not tried without its part of the change: the write that nobody wants any more.

--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -69,6 +69,8 @@
     deadline: Option<Instant>,
     read_timeout: Option<Duration>,
     write_timeout: Option<Duration>,
+    /// When the peer last took bytes.
+    wrote: Option<Instant>,
     watch: Arc<Watch>,
     pub limits: Limits,
     /// Closes the descriptor after `io` has stopped watching it (fields are dropped in this order). Guards against
@@ -92,6 +94,7 @@
             deadline: None,
             read_timeout: None,
             write_timeout: None,
+            wrote: None,
             limits: Limits::default(),
             _last: stream,
         })
@@ -135,6 +138,11 @@
         self.write_timeout = time;
     }
 
+    /// How long ago the last bytes were written; `None` where nothing was.
+    pub fn since_last_write(&self) -> Option<Duration> {
+        self.wrote.map(|at| at.elapsed())
+    }
+
     pub fn waker(&self) -> Waker {
         Waker(self.io.waker())
     }
@@ -290,6 +298,12 @@
     }
 
     pub fn write(&mut self, bytes: &[u8]) -> Result<(), NetError> {
+        self.write_while(bytes, || true).map(|_| ())
+    }
+
+    /// Writes while `wanted` holds, which is asked whenever the peer takes nothing more for now; its waker makes it look
+    /// again. `false`: given up before the last byte.
+    pub fn write_while(&mut self, bytes: &[u8], wanted: impl Fn() -> bool) -> Result<bool, NetError> {
         let mut rest = bytes;
         // The limit is on standing still: each piece that the peer takes begins it anew.
         let mut until = None;
@@ -299,8 +313,12 @@
                 Ok(n) => {
                     rest = &rest[n..];
                     until = None;
+                    self.wrote = Some(Instant::now());
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    if !wanted() {
+                        return Ok(false);
+                    }
                     let timeout = self.write_timeout.map(|time| Instant::now() + time);
                     until = until.or(timeout);
                     self.wait(until)?;
@@ -309,7 +327,7 @@
                 Err(error) => return Err(error.into()),
             }
         }
-        Ok(())
+        Ok(true)
     }
 
     /// The next request's head. `Closed` where the peer ended in good order before a first byte.
--- a/crates/net/src/watch.rs
+++ b/crates/net/src/watch/mod.rs
@@ -9,8 +9,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError, Weak};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
 use may::io::WaitIoWaker;
@@ -21,10 +20,57 @@
 /// The limit of one connection.
 pub(crate) struct Watch {
     waker: WaitIoWaker,
+    times: Mutex<Times>,
+}
+
+/// When a connection's wait ends, and where it stands in the list. Both change together: the thread that keeps the list
+/// comes to a place in the very moment in which the connection moves its limit, and one that looked at the two apart
+/// dropped the place, or listed it under the old limit, while the connection took it to be listed.
+#[derive(Debug)]
+struct Times {
     /// Microseconds since the process's first watch.
-    until: AtomicU64,
+    until: u64,
     /// Time of its earliest place in the list.
-    listed: AtomicU64,
+    listed: u64,
+}
+
+/// What becomes of a place that is due.
+#[derive(Debug, PartialEq, Eq)]
+enum Due {
+    /// Another place counts, or there is no limit any more.
+    Drop,
+    /// The limit has moved to this time.
+    Later(u64),
+    Wake,
+}
+
+impl Times {
+    /// Moves the limit; `true` where a new place in the list is needed for it.
+    fn set(&mut self, until: u64) -> bool {
+        self.until = until;
+        let sooner = until < self.listed;
+        if sooner {
+            self.listed = until;
+        }
+        sooner
+    }
+
+    /// The list has come to the place at this time.
+    fn due(&mut self, place: u64, now: u64) -> Due {
+        if self.listed != place {
+            return Due::Drop;
+        }
+        if self.until == NEVER {
+            self.listed = NEVER;
+            return Due::Drop;
+        }
+        if self.until > now {
+            self.listed = self.until;
+            return Due::Later(self.until);
+        }
+        self.listed = NEVER;
+        Due::Wake
+    }
 }
 
 type Place = Reverse<(u64, usize)>;
@@ -106,17 +152,13 @@
                         list.watches.remove(&key);
                         continue;
                     };
-                    // Only the place that the watch counts on goes on; an older one is dropped.
-                    let until = watch.until.load(Ordering::SeqCst);
-                    if watch.listed.load(Ordering::SeqCst) != at || until == NEVER {
-                        let _ = watch.listed.compare_exchange(at, NEVER, Ordering::SeqCst, Ordering::SeqCst);
-                        list.watches.remove(&key);
-                    } else if until > now {
-                        watch.listed.store(until, Ordering::SeqCst);
+                    let due = watch.times().due(at, now);
+                    if let Due::Later(until) = due {
                         list.heap.push(Reverse((until, key)));
-                    } else {
-                        watch.listed.store(NEVER, Ordering::SeqCst);
-                        list.watches.remove(&key);
+                        continue;
+                    }
+                    list.watches.remove(&key);
+                    if due == Due::Wake {
                         watch.waker.wakeup();
                     }
                 }
@@ -127,21 +169,24 @@
 
 impl Watch {
     pub fn new(waker: WaitIoWaker) -> Arc<Watch> {
-        Arc::new(Watch { waker, until: AtomicU64::new(NEVER), listed: AtomicU64::new(NEVER) })
+        Arc::new(Watch { waker, times: Mutex::new(Times { until: NEVER, listed: NEVER }) })
+    }
+
+    fn times(&self) -> MutexGuard<'_, Times> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sets the limit. Whoever waits is woken at that time or a little after.
     pub fn set(self: &Arc<Self>, at: Option<Instant>) {
         let Some(at) = at else {
-            self.until.store(NEVER, Ordering::SeqCst);
+            self.times().set(NEVER);
             return;
         };
         let keeper = keeper();
         // One tick late rather than early: the waiter looks at the clock when it is woken.
         let at = keeper.micros(at) + 1;
-        self.until.store(at, Ordering::SeqCst);
-        if at < self.listed.load(Ordering::SeqCst) {
-            self.listed.store(at, Ordering::SeqCst);
+        let needs_place = self.times().set(at);
+        if needs_place {
             keeper.add(at, self);
         }
     }
@@ -155,3 +200,6 @@
         list.calls.insert(key, Box::new(f));
     });
 }
+
+#[cfg(test)]
+mod tests;
