--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -12,10 +12,10 @@
 use elderstage_protocol::http::{self, Framing, HttpError, Limits, Request};
 
 use crate::Shared;
-use crate::guests::{GRACE, Place};
-use crate::owner::In;
-use crate::room::Room;
-use crate::seat::{Mail, Parts, Seat};
+use crate::connections::{ConnectionPermit, GRACE};
+use crate::event_loop::Event;
+use crate::memory::MemoryPermit;
+use crate::response::{Parts, ResponseChannel, ResponseEvent};
 
 /// A request is read whole within this time of its connection, or for later ones of its first byte: who sends what
 /// can't be read is owed an answer within three seconds of connecting.
@@ -30,13 +30,13 @@
 const LINGER_BYTES: usize = 4 << 20;
 /// While the node ends, a connection that was accepted last has so long to bring the request that its client made it for.
 const ARRIVES: Duration = Duration::from_millis(300);
-/// Bytes read ahead of an answer without asking for memory; beyond, a whole request's room is asked for.
+/// Bytes read ahead of an answer without asking for memory; beyond, memory for a whole request is reserved.
 const AHEAD: usize = 16 << 10;
 /// Most bytes dropped in one look at a client that floods; the rest waits for others' turn.
 const FLOOD: usize = 256 << 10;
 /// Pause before the next look at such a client.
 const FLOOD_PAUSE: Duration = Duration::from_millis(5);
-/// Pause between two looks for room for a body.
+/// Pause between two attempts to reserve memory for a body.
 const ROOM: Duration = Duration::from_millis(5);
 /// Most bytes of a head, and of a body.
 const LIMITS: Limits = Limits { head: 16 << 10, body: ask::MOST_BODY };
@@ -44,25 +44,25 @@
 const SECOND: f64 = 1e6;
 
 /// Serves a connection to its end, and closes it so that nothing that was written is destroyed by the close.
-pub fn serve(shared: &Arc<Shared>, mut conn: Conn, place: &Place) {
-    requests(shared, &mut conn, place);
-    // Others wait for the place of one that makes room: it waits only for as long as its last answer may be on its way.
-    // It may have been asked to leave in the same instant in which its last request came.
-    let makes_room = place.guest.must_leave() && !shared.closing();
+pub fn serve(shared: &Arc<Shared>, mut conn: Conn, permit: &ConnectionPermit) {
+    requests(shared, &mut conn, permit);
+    // Others wait for the permit of an evicted one: it stays only for as long as its last answer may be on its way.
+    // It may have been evicted in the same instant in which its last request came.
+    let evicted = permit.connection.is_evicted() && !shared.closing();
     let answered = conn.since_last_write().map_or(Duration::ZERO, |since| LINGER.saturating_sub(since));
-    conn.finish(if makes_room { answered } else { LINGER }, LINGER_BYTES);
+    conn.finish(if evicted { answered } else { LINGER }, LINGER_BYTES);
 }
 
-fn requests(shared: &Arc<Shared>, conn: &mut Conn, place: &Place) {
+fn requests(shared: &Arc<Shared>, conn: &mut Conn, permit: &ConnectionPermit) {
     conn.limits = LIMITS;
     conn.set_write_timeout(Some(WRITE));
     let accepted = Instant::now();
     let mut first = true;
     loop {
-        if !begins(shared, conn, place, first, accepted) {
+        if !begins(shared, conn, permit, first, accepted) {
             return;
         }
-        place.busy();
+        permit.busy();
         let until = if first { accepted + READ } else { Instant::now() + READ };
         first = false;
         conn.set_deadline(Some(until));
@@ -98,7 +98,7 @@
             }
         }
         conn.shrink();
-        place.idle();
+        permit.idle();
         if shared.closing() && !conn.has_pending() {
             return;
         }
@@ -112,7 +112,13 @@
 }
 
 /// Waits for the first byte of a request. `false`: the connection is to be closed.
-fn begins(shared: &Shared, conn: &mut Conn, place: &Place, first: bool, accepted: Instant) -> bool {
+fn begins(
+    shared: &Shared,
+    conn: &mut Conn,
+    permit: &ConnectionPermit,
+    first: bool,
+    accepted: Instant,
+) -> bool {
     let idle = Instant::now();
     loop {
         if conn.has_pending() {
@@ -125,7 +131,7 @@
         }
         let now = Instant::now();
         let mut until = if first { accepted + GRACE } else { idle + IDLE };
-        if place.guest.must_leave() {
+        if permit.connection.is_evicted() {
             until = if first && shared.closing() { until.min(accepted + ARRIVES) } else { now };
         }
         if now >= until {
@@ -161,7 +167,7 @@
 /// A body that was read whole.
 struct Whole {
     bytes: Vec<u8>,
-    room: Room,
+    memory: MemoryPermit,
     /// When its last byte may have come at the latest: what waited for memory had come before.
     came: Instant,
 }
@@ -173,9 +179,9 @@
         Framing::Length(n) => usize::try_from(n).unwrap_or(usize::MAX),
         _ => LIMITS.body,
     };
-    let room = loop {
-        if let Some(room) = shared.bodies.take(most.min(LIMITS.body)) {
-            break room;
+    let memory = loop {
+        if let Some(memory) = shared.bodies.reserve(most.min(LIMITS.body)) {
+            break memory;
         }
         if Instant::now() + ROOM >= until || conn.is_closed() {
             return Err((503, "no memory left for a body".into()));
@@ -185,7 +191,7 @@
     let waited = asked.elapsed();
     let read = conn.take_body(head).and_then(|()| conn.body(head.framing));
     match read {
-        Ok(bytes) => Ok(Whole { bytes, room, came: Instant::now() - waited }),
+        Ok(bytes) => Ok(Whole { bytes, memory, came: Instant::now() - waited }),
         Err(NetError::Http(error)) => {
             let status = if matches!(error, HttpError::BodyTooLarge(_)) { 413 } else { error.status() };
             Err((status, error.to_string()))
@@ -198,7 +204,7 @@
 
 /// One request and its answer. `false`: the connection is to be closed.
 fn chat(shared: &Arc<Shared>, conn: &mut Conn, head: Request, until: Instant) -> bool {
-    let Whole { bytes: body, room, came } = match body(shared, conn, &head, until) {
+    let Whole { bytes: body, memory, came } = match body(shared, conn, &head, until) {
         Ok(read) => read,
         Err((status, why)) => {
             refuse(conn, status, &why);
@@ -218,12 +224,12 @@
     };
     let fields = forward::fields(&head);
     let Request { method, target, .. } = head;
-    let parts = Parts { trace: ask.trace.clone(), method, target, fields, body, _room: room };
-    let seat = Seat::new(parts, conn.waker());
+    let parts = Parts { trace: ask.trace.clone(), method, target, fields, body, _memory: memory };
+    let channel = ResponseChannel::new(parts, conn.waker());
     let id = ReqId(shared.next_id.fetch_add(1, Ordering::Relaxed));
-    shared.tell(In::Open { id, ask, seat: seat.clone(), came });
-    let kept = answer(shared, conn, &seat, id, keep);
-    seat.close();
+    shared.submit(Event::Open { id, ask, channel: channel.clone(), came });
+    let kept = answer(shared, conn, &channel, id, keep);
+    channel.close();
     kept
 }
 
@@ -232,7 +238,7 @@
 /// ends with this answer.
 #[derive(Default)]
 struct Ahead {
-    room: Option<Room>,
+    memory: Option<MemoryPermit>,
     dropped: bool,
     /// There is more to be read than one look takes.
     more: bool,
@@ -245,9 +251,9 @@
         self.more = false;
         loop {
             let held = conn.pending().len();
-            if held > AHEAD && self.room.is_none() && !self.dropped {
-                self.room = shared.bodies.take(LIMITS.body);
-                self.dropped = self.room.is_none();
+            if held > AHEAD && self.memory.is_none() && !self.dropped {
+                self.memory = shared.bodies.reserve(LIMITS.body);
+                self.dropped = self.memory.is_none();
             }
             if held > LIMITS.head + LIMITS.body || self.dropped {
                 self.dropped = true;
@@ -267,30 +273,30 @@
     }
 }
 
-fn answer(shared: &Arc<Shared>, conn: &mut Conn, seat: &Seat, id: ReqId, keep: bool) -> bool {
+fn answer(shared: &Arc<Shared>, conn: &mut Conn, channel: &ResponseChannel, id: ReqId, keep: bool) -> bool {
     let (mut begun, mut out, mut ahead) = (false, Vec::new(), Ahead::default());
     loop {
         let mut whole = false;
         out.clear();
-        while let Some(mail) = seat.take() {
-            match mail {
-                Mail::Events(events) => {
+        while let Some(event) = channel.take() {
+            match event {
+                ResponseEvent::Events(events) => {
                     if !begun {
                         begun = true;
                         http::write_stream_head(200, &[("content-type", "text/event-stream")], &mut out);
                     }
                     http::write_chunk(&events, &mut out);
                 }
-                Mail::Whole => {
+                ResponseEvent::Whole => {
                     out.extend_from_slice(http::LAST_CHUNK);
                     whole = true;
                 }
-                Mail::Cut => {
+                ResponseEvent::Cut => {
                     // Its connection ends without the last chunk.
                     let _ = conn.write(&out);
                     return false;
                 }
-                Mail::Last(last) => {
+                ResponseEvent::Last(last) => {
                     let keep = keep && stays(shared, conn) && !ahead.dropped;
                     let kept = match last {
                         Last::Refused { retry_after: 0 } => reply(conn, 503, None, "turned away", keep),
@@ -306,7 +312,7 @@
             }
         }
         if (!out.is_empty() && conn.write(&out).is_err()) || (!whole && ahead.look(shared, conn)) {
-            shared.tell(In::Hub(Input::Gone { id }));
+            shared.submit(Event::Hub(Input::Gone { id }));
             return false;
         }
         if whole {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -14,12 +14,12 @@
 use elderstage_protocol::http::{Body, Framing, Limits};
 
 use crate::Shared;
-use crate::owner::In;
+use crate::event_loop::Event;
 
 /// Wait for a connection: it is on the same machine.
 const CONNECT: Duration = Duration::from_millis(300);
-/// Pause between two looks for another address.
-const LOOK: Duration = Duration::from_millis(100);
+/// Pause between two comparison for another address.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 const LIMITS: Limits = Limits { head: 16 << 10, body: MOST };
 
 /// Watches until the process ends.
@@ -32,7 +32,7 @@
             Err(error) => tracing::warn!(target: "node", %at, %error, "watch on discovery ended"),
         }
         let now = clock.now();
-        sleep(Duration::from_micros(watch.again(now) - now));
+        sleep(Duration::from_micros(watch.retry_at(now) - now));
     }
 }
 
@@ -76,7 +76,7 @@
                 for list in watch.take(clock.now(), &held, &shared.names).map_err(other)? {
                     let (seq, whole, hosts) = (list.seq, list.whole, list.hosts.len());
                     tracing::debug!(target: "discovery", seq, whole, hosts);
-                    shared.tell(In::Hub(Input::Listed { list, restored: false }));
+                    shared.submit(Event::Hub(Input::Listed { list, restored: false }));
                     shared.listed.store(true, Ordering::SeqCst);
                 }
                 held.clear();
@@ -86,11 +86,11 @@
             }
         }
         if !conn.fill_now()? {
-            let left = Duration::from_micros(watch.until().saturating_sub(clock.now()));
+            let left = Duration::from_micros(watch.deadline().saturating_sub(clock.now()));
             if left.is_zero() {
                 return Err(NetError::TimedOut);
             }
-            conn.pause(Some(Instant::now() + left.min(LOOK)));
+            conn.pause(Some(Instant::now() + left.min(POLL_INTERVAL)));
         }
     }
 }
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -17,15 +17,15 @@
 use elderstage_protocol::http::{Body, Framing, Limits, Response};
 
 use crate::Shared;
+use crate::event_loop::Event;
 use crate::hold_at;
-use crate::owner::In;
 use crate::pool::Link;
-use crate::seat::{Begin, Mail, Seat};
+use crate::response::{AttemptStart, ResponseChannel, ResponseEvent};
 
 /// An engine whose stream brings nothing for so long is gone without a word (TCP tells nothing of a machine that is
 /// cut off): its client must hear of it within five seconds of the last event.
 const SILENT: Duration = Duration::from_millis(4_300);
-/// Pause between two looks at a client that does not keep up.
+/// Poll interval for a client that does not keep up.
 const CLIENT_WAIT: Duration = Duration::from_millis(5);
 /// Most bytes of the body of an answer that is no stream.
 const MOST_BODY: usize = 64 << 10;
@@ -47,7 +47,7 @@
     pub timeout: Duration,
     /// It may be sent again, whatever comes of it.
     pub harmless: bool,
-    pub seat: Arc<Seat>,
+    pub channel: Arc<ResponseChannel>,
 }
 
 /// One call that lets go of what is held for a request.
@@ -84,18 +84,22 @@
     go(move || {
         let begun = Instant::now();
         let end = run(&shared, &job, begun + job.timeout);
-        job.seat.finish(job.attempt);
-        job.seat.fetching.store(false, Ordering::SeqCst);
+        job.channel.finish(job.attempt);
+        job.channel.fetching.store(false, Ordering::SeqCst);
         if end.begun {
-            job.seat.post(if end.outcome == Outcome::Served { Mail::Whole } else { Mail::Cut });
+            job.channel.send(if end.outcome == Outcome::Served {
+                ResponseEvent::Whole
+            } else {
+                ResponseEvent::Cut
+            });
         }
         tracing::debug!(
-            target: "attempt", trace = %job.seat.parts.trace, attempt = job.attempt, server = %job.server.0,
+            target: "attempt", trace = %job.channel.parts.trace, attempt = job.attempt, server = %job.server.0,
             outcome = ?end.outcome, note = end.note, took_ms = begun.elapsed().as_millis() as u64,
         );
         let End { outcome, note, report, events, .. } = end;
         let (id, attempt) = (job.id, job.attempt);
-        shared.tell(In::Hub(Input::Ended { id, attempt, outcome, note, report, events }));
+        shared.submit(Event::Hub(Input::Ended { id, attempt, outcome, note, report, events }));
     });
 }
 
@@ -112,16 +116,16 @@
             return ended(Reached::NotWhole, Cut::Broken);
         }
     };
-    hold_at!("attempt-connected-{}", job.seat.parts.trace);
-    let _carried = shared.carrying.begin(job.dial);
+    hold_at!("attempt-connected-{}", job.channel.parts.trace);
+    let _in_flight = shared.in_flight.begin(job.dial);
     let waker = link.conn().waker();
-    match job.seat.begin(job.attempt, waker) {
-        Begin::Go => {}
-        Begin::GivenUp => {
+    match job.channel.begin(job.attempt, waker) {
+        AttemptStart::Proceed => {}
+        AttemptStart::Cancelled => {
             link.keep();
             return ended(Reached::NotWhole, Cut::Cancelled);
         }
-        Begin::Withdrawn => {
+        AttemptStart::Withdrawn => {
             link.keep();
             return ended(Reached::NotWhole, Cut::Broken);
         }
@@ -158,7 +162,7 @@
 }
 
 fn write(link: &mut Link, job: &Attempt, left: Duration) -> Result<(), Cut> {
-    let parts = &job.seat.parts;
+    let parts = &job.channel.parts;
     let mut head = Vec::with_capacity(512);
     head.extend_from_slice(
         format!("{} {} HTTP/1.1\r\nHost: {}\r\n", parts.method, parts.target, job.dial).as_bytes(),
@@ -172,7 +176,7 @@
     conn.limits = HEAD;
     conn.set_write_timeout(Some(left));
     // An engine may take nothing more for a while, and the client leave meanwhile.
-    let wanted = || !job.seat.is_cancelled(job.attempt) && !job.seat.is_closed();
+    let wanted = || !job.channel.is_cancelled(job.attempt) && !job.channel.is_closed();
     for bytes in [&head, &parts.body] {
         match conn.write_while(bytes, wanted) {
             Ok(true) => {}
@@ -187,7 +191,7 @@
 /// Waits for more of an answer.
 fn more(link: &mut Link, job: Option<&Attempt>, until: Instant) -> Result<(), Cut> {
     loop {
-        if job.is_some_and(|job| job.seat.is_cancelled(job.attempt)) {
+        if job.is_some_and(|job| job.channel.is_cancelled(job.attempt)) {
             return Err(Cut::Cancelled);
         }
         match link.conn().fill_now() {
@@ -195,7 +199,7 @@
             Ok(false) => {}
             Err(_) => return Err(Cut::Broken),
         }
-        if job.is_some_and(|job| job.seat.is_cut()) {
+        if job.is_some_and(|job| job.channel.is_cut()) {
             return Ok(());
         }
         if Instant::now() >= until {
@@ -273,12 +277,12 @@
                 begun = true;
                 tracing::debug!(
                     target: "answer", after_head_us = opened.elapsed().as_micros() as u64,
-                    trace = %job.seat.parts.trace, "streams",
+                    trace = %job.channel.parts.trace, "streams",
                 );
-                shared.tell(In::Hub(Input::First { id: job.id, attempt: job.attempt }));
+                shared.submit(Event::Hub(Input::First { id: job.id, attempt: job.attempt }));
             }
             until = Instant::now() + SILENT;
-            if !job.seat.post(Mail::Events(events)) {
+            if !job.channel.send(ResponseEvent::Events(events)) {
                 return Ok((End { outcome: Outcome::Cancelled, begun, ..broken(begun) }, false));
             }
         }
@@ -299,14 +303,14 @@
             let (outcome, note, events) = (Outcome::Served, said.cached, said.events);
             return Ok((End { outcome, note, report, begun, events }, good));
         }
-        if job.seat.is_cut() {
+        if job.channel.is_cut() {
             // What the engine has written by now still goes on: a stream that it has finished is whole.
             match link.conn().fill_now() {
                 Ok(true) => continue,
                 _ => return Ok((End { outcome: Outcome::Cancelled, ..broken(begun) }, false)),
             }
         }
-        while !job.seat.has_room() && !job.seat.is_closed() && !job.seat.is_cancelled(job.attempt) {
+        while !job.channel.has_room() && !job.channel.is_closed() && !job.channel.is_cancelled(job.attempt) {
             link.conn().pause(Some(Instant::now() + CLIENT_WAIT));
             until = Instant::now() + SILENT;
         }
@@ -370,7 +374,7 @@
             Err(_) => (Outcome::NoConnection, None),
         };
         tracing::debug!(target: "probe", server = %server.0, ?outcome, ?told);
-        shared.tell(In::Hub(Input::Probed { server, outcome, report: told }));
+        shared.submit(Event::Hub(Input::Probed { server, outcome, report: told }));
     });
 }
 
@@ -392,7 +396,7 @@
             let left = RELEASE.saturating_sub(begun.elapsed());
             elderstage_net::sleep(left.min(AGAIN));
         }
-        shared.tell(In::Hub(Input::Said { id, holder, engine, heard }));
+        shared.submit(Event::Hub(Input::Said { id, holder, engine, heard }));
     });
 }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/event_loop.rs
@@ -1,4 +1,4 @@
-//! The one owner of the hub and with it of the module: events in from all coroutines, commands out to them.
+//! The event loop, the one owner of the hub and with it of the module: events in from all coroutines, commands out to them.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -11,17 +11,17 @@
 use elderstage_platform::hub::{Command, Hub, Input};
 
 use crate::Shared;
-use crate::beliefs::Looks;
+use crate::diagnosis::Comparison;
 use crate::engine::{self, Attempt};
-use crate::seat::{Mail, Seat};
+use crate::response::{ResponseChannel, ResponseEvent};
 
-/// What coroutines and threads tell the owner.
-pub enum In {
+/// What coroutines and threads submit.
+pub enum Event {
     /// A request was read whole.
     Open {
         id: ReqId,
         ask: Ask,
-        seat: Arc<Seat>,
+        channel: Arc<ResponseChannel>,
         /// When its last byte had come: its client's time runs since then.
         came: Instant,
     },
@@ -39,17 +39,24 @@
     Compare,
 }
 
-pub struct Owner {
+/// Drives the hub; runs on a thread of its own.
+pub struct EventLoop {
     hub: Hub,
     shared: Arc<Shared>,
-    seats: HashMap<ReqId, Arc<Seat>>,
+    channels: HashMap<ReqId, Arc<ResponseChannel>>,
     commands: Vec<Command>,
-    looks: Looks,
+    comparison: Comparison,
 }
 
-impl Owner {
-    pub fn new(hub: Hub, shared: Arc<Shared>) -> Owner {
-        Owner { hub, shared, seats: HashMap::new(), commands: Vec::new(), looks: Looks::default() }
+impl EventLoop {
+    pub fn new(hub: Hub, shared: Arc<Shared>) -> EventLoop {
+        EventLoop {
+            hub,
+            shared,
+            channels: HashMap::new(),
+            commands: Vec::new(),
+            comparison: Comparison::default(),
+        }
     }
 
     fn carry_out(&mut self) {
@@ -66,47 +73,51 @@
     fn command(&mut self, command: Command) {
         match command {
             Command::Send { id, attempt, server, dial, timeout, harmless, fetches } => {
-                let Some(seat) = self.seats.get(&id).cloned() else { return };
-                seat.fetching.store(fetches, Ordering::SeqCst);
+                let Some(channel) = self.channels.get(&id).cloned() else { return };
+                channel.fetching.store(fetches, Ordering::SeqCst);
                 let timeout = Duration::from_micros(timeout);
-                engine::attempt(&self.shared, Attempt { id, attempt, server, dial, timeout, harmless, seat });
+                engine::attempt(
+                    &self.shared,
+                    Attempt { id, attempt, server, dial, timeout, harmless, channel },
+                );
             }
             Command::Cancel { id, attempt } => {
-                if let Some(seat) = self.seats.get(&id) {
-                    seat.cancel(attempt);
+                if let Some(channel) = self.channels.get(&id) {
+                    channel.cancel(attempt);
                 }
             }
             Command::Withdraw { id, attempt } => {
-                if let Some(seat) = self.seats.get(&id) {
-                    seat.withdraw(attempt);
+                if let Some(channel) = self.channels.get(&id) {
+                    channel.withdraw(attempt);
                 }
             }
             Command::Move { id } => {
-                if let Some(seat) = self.seats.get(&id) {
-                    seat.cut();
+                if let Some(channel) = self.channels.get(&id) {
+                    channel.cut();
                 }
             }
             Command::Answer { id, last } => {
-                if let Some(seat) = self.seats.get(&id) {
-                    tracing::debug!(target: "answered", trace = %seat.parts.trace, ?last);
-                    seat.post(Mail::Last(last));
+                if let Some(channel) = self.channels.get(&id) {
+                    tracing::debug!(target: "answered", trace = %channel.parts.trace, ?last);
+                    channel.send(ResponseEvent::Last(last));
                 }
             }
             Command::Release { id, trace, holder, engine, dial } => {
-                let fetching = self.seats.get(&id).map(|seat| seat.fetching.clone()).unwrap_or_default();
+                let fetching =
+                    self.channels.get(&id).map(|channel| channel.fetching.clone()).unwrap_or_default();
                 engine::release(&self.shared, engine::Release { id, trace, holder, engine, dial, fetching });
             }
             Command::Probe { server, dial } => engine::probe(&self.shared, server, dial),
             Command::Forget { id } => {
-                self.seats.remove(&id);
+                self.channels.remove(&id);
             }
         }
     }
 
     fn compare(&mut self) {
-        for differs in self.looks.look(&self.hub.in_flight(), &self.shared.carrying.now()) {
+        for differs in self.comparison.compare(&self.hub.in_flight(), &self.shared.in_flight.snapshot()) {
             tracing::warn!(
-                target: "node", server = %differs.at, believed = differs.believed, open = differs.open, "differs",
+                target: "node", server = %differs.server, believed = differs.believed, open = differs.open, "differs",
             );
         }
     }
@@ -117,41 +128,41 @@
         let (links, idle) = self.shared.pool.counts();
         let out: usize = self.hub.in_flight().values().sum();
         tracing::info!(
-            target: "node", open, attempts = out, seats = self.seats.len(), leases, servers = self.hub.servers(),
-            engine_connections = links, idle, client_connections = self.shared.guests.len(),
-            body_bytes = self.shared.bodies.taken(), counts = ?self.hub.counts(), "state",
+            target: "node", open, attempts = out, seats = self.channels.len(), leases, servers = self.hub.servers(),
+            engine_connections = links, idle, client_connections = self.shared.client_connections.len(),
+            body_bytes = self.shared.bodies.reserved(), counts = ?self.hub.counts(), "state",
         );
     }
 }
 
-impl Machine for Owner {
-    type Event = In;
+impl Machine for EventLoop {
+    type Event = Event;
 
-    fn handle(&mut self, now: Micros, event: In) -> bool {
+    fn handle(&mut self, now: Micros, event: Event) -> bool {
         match event {
-            In::Open { id, mut ask, seat, came } => {
+            Event::Open { id, mut ask, channel, came } => {
                 let waited = u64::try_from(came.elapsed().as_micros()).unwrap_or(u64::MAX);
                 ask.arrival.time_left = ask.arrival.time_left.saturating_sub(waited);
                 tracing::debug!(
                     target: "taken", trace = %ask.trace, class = ask.arrival.class, left_ms = ask.arrival.time_left / 1000,
                     prompt = ask.arrival.prompt, session = ?ask.arrival.session, again = ask.arrival.returned,
                 );
-                self.seats.insert(id, seat);
+                self.channels.insert(id, channel);
                 self.hub.handle(now, Input::Arrived { id, ask }, &mut self.commands);
             }
-            In::Hub(input) => self.hub.handle(now, input, &mut self.commands),
-            In::Trace => self.trace(),
-            In::Tally => {
+            Event::Hub(input) => self.hub.handle(now, input, &mut self.commands),
+            Event::Trace => self.trace(),
+            Event::Tally => {
                 if let Some(counting) = self.hub.counting() {
                     self.shared.tally.put(counting.tally().clone());
                 }
             }
-            In::CountUnder { digest, settings } => {
+            Event::CountUnder { digest, settings } => {
                 if let Some(counting) = self.hub.counting() {
                     counting.under(&digest, &self.shared.names.classes, &settings);
                 }
             }
-            In::Compare => self.compare(),
+            Event::Compare => self.compare(),
         }
         self.carry_out();
         true
--- a/crates/node/src/hold.rs
+++ b/crates/node/src/hold.rs
@@ -9,7 +9,7 @@
 
 /// Names the folder of the steps.
 const FOLDER: &str = "ELDERSTAGE_HOLD";
-/// Pause between two looks for the end of a hold.
+/// Pause between two comparison for the end of a hold.
 const LOOK: Duration = Duration::from_millis(2);
 
 /// Waits here while the test holds this step.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,18 +1,18 @@
 //! A front node of the platform on real sockets: `elderstage node`. Decides nothing: coroutines report what happened
 //! to one owner, which holds the hub and with it the module, and carry out what they are told.
 
-mod beliefs;
 mod client;
+mod connections;
+mod diagnosis;
 mod discovery;
 mod engine;
-mod guests;
+mod event_loop;
 #[cfg(feature = "hold")]
 mod hold;
 mod limits;
-mod owner;
+mod memory;
 mod pool;
-mod room;
-mod seat;
+mod response;
 mod tally;
 
 use std::net::SocketAddr;
@@ -31,11 +31,11 @@
 use signal_hook::iterator::Signals;
 use thiserror::Error;
 
-use beliefs::Carrying;
-use guests::{Entry, Guests};
-use owner::{In, Owner};
+use connections::{Admission, ClientConnections};
+use diagnosis::InFlightAttempts;
+use event_loop::{Event, EventLoop};
+use memory::MemoryBudget;
 use pool::Pool;
-use room::Rooms;
 
 /// A step at which tests can hold the node; nothing without their feature.
 macro_rules! hold_at {
@@ -58,15 +58,15 @@
 /// The list that a node knows at its start may be old, and what its discovery has counts as told at once: a node is ready
 /// with the first list, or after this time if discovery is silent.
 const FIRST_LIST: Duration = Duration::from_millis(600);
-/// Pause between two looks for the place of a connection that was asked to leave.
-const LEAVES: Duration = Duration::from_millis(1);
-/// How often the main thread looks for signals and at what is to be tidied.
+/// Poll interval for the permit of a connection that was evicted.
+const EVICTION_POLL: Duration = Duration::from_millis(1);
+/// How often the main thread polls for signals and for what is due.
 const TICK: Duration = Duration::from_millis(20);
 /// How often idle connections are looked at, and the state is written to the log.
 const TIDY: Duration = Duration::from_secs(1);
 const TRACE: Duration = Duration::from_secs(10);
 /// The program may end when nothing was open for so long: answers are on their way then.
-const QUIET: Duration = Duration::from_millis(200);
+const QUIESCENCE_PERIOD: Duration = Duration::from_millis(200);
 
 /// Why a node does not start.
 #[derive(Debug, Error)]
@@ -85,11 +85,11 @@
 pub(crate) struct Shared {
     names: Names,
     connect: Duration,
-    inbox: Inbox<In>,
+    inbox: Inbox<Event>,
     pool: Arc<Pool>,
-    guests: Arc<Guests>,
-    bodies: Arc<Rooms>,
-    carrying: Arc<Carrying>,
+    client_connections: Arc<ClientConnections>,
+    bodies: Arc<MemoryBudget>,
+    in_flight: Arc<InFlightAttempts>,
     next_id: AtomicU32,
     ready: AtomicBool,
     /// Discovery has told a list.
@@ -105,7 +105,7 @@
 }
 
 impl Shared {
-    fn tell(&self, event: In) {
+    fn submit(&self, event: Event) {
         // The owner lives as long as the process.
         self.inbox.send(event);
     }
@@ -127,11 +127,11 @@
     }
 }
 
-fn read(path: &Path, besides: &Companions) -> Result<Start, NodeError> {
+fn read(path: &Path, environment: &Companions) -> Result<Start, NodeError> {
     let shown = path.display().to_string();
     let text =
         std::fs::read_to_string(path).map_err(|error| NodeError::Read { path: shown.clone(), error })?;
-    Start::parse(&text, besides).map_err(|error| NodeError::Config { path: shown, error })
+    Start::parse(&text, environment).map_err(|error| NodeError::Config { path: shown, error })
 }
 
 /// What settings are known by, alike at all nodes that have the same: the BLAKE3 digest of the configuration's `settings`
@@ -143,10 +143,10 @@
 }
 
 /// Runs a node until SIGTERM or SIGINT and until all it took is answered.
-pub fn node(path: &Path, besides: &Companions) -> Result<(), NodeError> {
+pub fn node(path: &Path, environment: &Companions) -> Result<(), NodeError> {
     // Caught from here on: a signal during the start waits, also while the configuration is read.
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(NodeError::System)?;
-    let start = read(path, besides)?;
+    let start = read(path, environment)?;
     let shares = limits::Shares::of(start.allowed);
     init_small(shares.stacks);
     let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -155,9 +155,9 @@
     let shared = Arc::new(Shared {
         connect: Duration::from_micros(start.settings.connect_timeout.max(1)),
         pool: Pool::new(shares.engines, start.names.idle_close.map(Duration::from_micros)),
-        guests: Guests::new(shares.clients),
-        bodies: Rooms::new(shares.bodies),
-        carrying: Arc::default(),
+        client_connections: ClientConnections::new(shares.clients),
+        bodies: MemoryBudget::new(shares.bodies),
+        in_flight: Arc::default(),
         names: start.names.clone(),
         inbox,
         next_id: AtomicU32::new(1),
@@ -175,9 +175,9 @@
         hub.count(Counting::new(&to.release, &digest(path), &shared.names.classes, &start.settings));
     }
     let mut counts = tally::Writer::new(clock.now());
-    run("owner", clock, events, Owner::new(hub, shared.clone())).map_err(NodeError::System)?;
+    run("owner", clock, events, EventLoop::new(hub, shared.clone())).map_err(NodeError::System)?;
     let seq = start.known.seq;
-    shared.tell(In::Hub(Input::Listed { list: start.known.clone(), restored: true }));
+    shared.submit(Event::Hub(Input::Listed { list: start.known.clone(), restored: true }));
     let listener =
         Listener::bind(start.listen).map_err(|error| NodeError::Listen { at: start.listen, error })?;
     let stop = listener.stopper();
@@ -188,7 +188,7 @@
     });
     let (watching, begun) = (shared.clone(), Instant::now());
     go(move || discovery::watch(&watching, clock, seq));
-    let (mut term, mut quiet): (Option<Instant>, Option<Instant>) = (None, None);
+    let (mut term, mut quiescent_since): (Option<Instant>, Option<Instant>) = (None, None);
     let (mut tidy, mut trace) = (Instant::now(), Instant::now());
     loop {
         if !shared.ready.load(Ordering::SeqCst)
@@ -200,7 +200,7 @@
         }
         for signal in signals.pending() {
             match signal {
-                SIGHUP => reload(&shared, &start, path, besides),
+                SIGHUP => reload(&shared, &start, path, environment),
                 _ if term.is_none() => {
                     tracing::info!(target: "node", "told to stop");
                     term = Some(Instant::now());
@@ -211,73 +211,73 @@
         if tidy.elapsed() >= TIDY {
             tidy = Instant::now();
             shared.pool.reap();
-            shared.tell(In::Compare);
+            shared.submit(Event::Compare);
             if let Some(to) = &start.tally {
                 counts.write(&shared.tally, &to.file);
-                shared.tell(In::Tally);
+                shared.submit(Event::Tally);
             }
         }
         if trace.elapsed() >= TRACE {
             trace = Instant::now();
-            shared.tell(In::Trace);
+            shared.submit(Event::Trace);
         }
         if let Some(at) = term.filter(|at| at.elapsed() >= STILL_ACCEPTS) {
             // Until it has closed: what has connected before is taken.
             stop.end();
             if !shared.closing.swap(true, Ordering::SeqCst) {
-                shared.guests.dismiss_idle();
+                shared.client_connections.close_idle();
                 let longest = Duration::from_micros(shared.longest_wait.load(Ordering::SeqCst));
                 let all = longest.min(KILL_COUNTS) + KILL_AFTER;
                 let within = all.saturating_sub(at.elapsed() + KILL_MARGIN).as_micros() as u64;
-                shared.tell(In::Hub(Input::Stopping { within }));
+                shared.submit(Event::Hub(Input::Stopping { within }));
                 tracing::info!(target: "node", after_ms = at.elapsed().as_millis() as u64, "accepts no more");
             }
             let busy = !stop.is_closed()
                 || shared.open.load(Ordering::SeqCst) > 0
                 || shared.letting_go.load(Ordering::SeqCst) > 0
-                || !shared.guests.is_empty()
+                || !shared.client_connections.is_empty()
                 || shared.inbox.waiting() > 0;
-            quiet = if busy { None } else { quiet.or(Some(Instant::now())) };
-            if quiet.is_some_and(|since| since.elapsed() >= QUIET) {
+            quiescent_since = if busy { None } else { quiescent_since.or(Some(Instant::now())) };
+            if quiescent_since.is_some_and(|since| since.elapsed() >= QUIESCENCE_PERIOD) {
                 tracing::info!(target: "node", "all answered");
                 if let Some(to) = &start.tally {
                     counts.write(&shared.tally, &to.file);
                 }
                 return Ok(());
             }
-            shared.guests.dismiss_idle();
+            shared.client_connections.close_idle();
         }
         std::thread::sleep(TICK);
     }
 }
 
 fn accept(shared: &Arc<Shared>, conn: Conn) {
-    let place = loop {
-        match shared.guests.enter(conn.waker()) {
-            Entry::Place(place) => break place,
+    let permit = loop {
+        match shared.client_connections.admit(conn.waker()) {
+            Admission::Granted(permit) => break permit,
             // Those that come after it wait with the system.
-            Entry::Soon => sleep(LEAVES),
+            Admission::WaitForEviction => sleep(EVICTION_POLL),
             // Where all places are taken by requests there is no descriptor left for another.
-            Entry::Full => return,
+            Admission::Full => return,
         }
     };
     let shared = shared.clone();
-    go(move || client::serve(&shared, conn, &place));
+    go(move || client::serve(&shared, conn, &permit));
 }
 
 /// Takes a new configuration whole or not at all. Engines, requests and connections stay.
-fn reload(shared: &Shared, running: &Start, path: &Path, besides: &Companions) {
-    match read(path, besides) {
+fn reload(shared: &Shared, running: &Start, path: &Path, environment: &Companions) {
+    match read(path, environment) {
         Ok(new) => match running.needs_restart(&new) {
             None => {
                 shared.move_discovery(new.discovery);
                 shared.longest_wait.store(new.names.longest_wait(), Ordering::SeqCst);
                 if running.tally.is_some() {
                     let settings = Box::new(new.settings.clone());
-                    shared.tell(In::CountUnder { digest: digest(path), settings });
+                    shared.submit(Event::CountUnder { digest: digest(path), settings });
                 }
                 let settings = Box::new(new.settings);
-                shared.tell(In::Hub(Input::Settings { settings }));
+                shared.submit(Event::Hub(Input::Settings { settings }));
                 tracing::info!(target: "node", discovery = %new.discovery, "configuration taken");
             }
             Some(what) => {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -5,7 +5,7 @@
 /// Descriptors for what is neither a client's nor an engine's connection: standard streams, the runtime's, the
 /// listener, signals, discovery's old and new watch, a file that is read, some that are always left free, and clients'
 /// connections that leave.
-const OWN: u64 = 28 + crate::guests::LEAVING as u64;
+const OWN: u64 = 28 + crate::connections::EVICTING as u64;
 /// Share of the rest that clients' connections may take. They hold a third of all for requests at most, each of which
 /// needs one to an engine; probes and releases need a few more.
 const CLIENTS: f64 = 0.56;
--- a/crates/node/src/seat.rs
+++ b/crates/node/src/response.rs
@@ -1,4 +1,4 @@
-//! One request between the coroutine that holds its client's connection, the owner, and its attempts.
+//! The response channel of one request: between its attempts, the event loop, and the coroutine of its client.
 
 use std::collections::VecDeque;
 use std::sync::atomic::AtomicBool;
@@ -8,11 +8,11 @@
 use elderstage_platform::hub::Last;
 
 /// Bytes that wait for a client before its engine is read no further.
-const MOST_WAITING: usize = 64 << 10;
+const MAX_WAITING: usize = 64 << 10;
 
-/// What a client's coroutine is told.
+/// What a client's coroutine receives.
 #[derive(Debug)]
-pub enum Mail {
+pub enum ResponseEvent {
     /// Whole events of the stream.
     Events(Vec<u8>),
     /// The stream has come to its end.
@@ -24,7 +24,7 @@
 
 #[derive(Default)]
 struct Inner {
-    mail: VecDeque<Mail>,
+    waiting: VecDeque<ResponseEvent>,
     bytes: usize,
     /// The client has gone, or has its answer.
     closed: bool,
@@ -47,21 +47,21 @@
     pub fields: Vec<u8>,
     pub body: Vec<u8>,
     /// Keeps count of the bodies' memory.
-    pub _room: crate::room::Room,
+    pub _memory: crate::memory::MemoryPermit,
 }
 
 /// Whether an attempt that has its connection may be written on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Begin {
-    Go,
+pub enum AttemptStart {
+    Proceed,
     /// Nobody waits for it any more.
-    GivenUp,
+    Cancelled,
     /// Its engine has left the list, or drains, since it was chosen.
     Withdrawn,
 }
 
-/// One request.
-pub struct Seat {
+/// The channel.
+pub struct ResponseChannel {
     pub parts: Parts,
     /// An attempt is out that comes for what a reader holds: nothing is let go of meanwhile.
     pub fetching: Arc<AtomicBool>,
@@ -69,9 +69,9 @@
     client: Waker,
 }
 
-impl Seat {
-    pub fn new(parts: Parts, client: Waker) -> Arc<Seat> {
-        Arc::new(Seat { parts, fetching: Arc::default(), inner: Mutex::default(), client })
+impl ResponseChannel {
+    pub fn new(parts: Parts, client: Waker) -> Arc<ResponseChannel> {
+        Arc::new(ResponseChannel { parts, fetching: Arc::default(), inner: Mutex::default(), client })
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
@@ -79,32 +79,32 @@
     }
 
     /// Tells the client's coroutine; `false` when it no longer listens.
-    pub fn post(&self, mail: Mail) -> bool {
+    pub fn send(&self, event: ResponseEvent) -> bool {
         let mut inner = self.inner();
         if inner.closed {
             return false;
         }
-        if let Mail::Events(events) = &mail {
+        if let ResponseEvent::Events(events) = &event {
             inner.bytes += events.len();
         }
-        inner.mail.push_back(mail);
+        inner.waiting.push_back(event);
         drop(inner);
         self.client.wake();
         true
     }
 
-    pub fn take(&self) -> Option<Mail> {
+    pub fn take(&self) -> Option<ResponseEvent> {
         let mut inner = self.inner();
-        let mail = inner.mail.pop_front()?;
-        if let Mail::Events(events) = &mail {
+        let event = inner.waiting.pop_front()?;
+        if let ResponseEvent::Events(events) = &event {
             inner.bytes -= events.len();
         }
-        Some(mail)
+        Some(event)
     }
 
     /// Whether the client keeps up.
     pub fn has_room(&self) -> bool {
-        self.inner().bytes < MOST_WAITING
+        self.inner().bytes < MAX_WAITING
     }
 
     pub fn is_closed(&self) -> bool {
@@ -115,21 +115,21 @@
     pub fn close(&self) {
         let mut inner = self.inner();
         inner.closed = true;
-        inner.mail.clear();
+        inner.waiting.clear();
         inner.bytes = 0;
     }
 
     /// An attempt has its connection. Here and nowhere else it is decided whether it goes or was stopped before.
-    pub fn begin(&self, attempt: u32, waker: Waker) -> Begin {
+    pub fn begin(&self, attempt: u32, waker: Waker) -> AttemptStart {
         let mut inner = self.inner();
         if inner.closed || attempt < inner.cancelled {
-            return Begin::GivenUp;
+            return AttemptStart::Cancelled;
         }
         if attempt < inner.withdrawn {
-            return Begin::Withdrawn;
+            return AttemptStart::Withdrawn;
         }
         inner.attempt = Some((attempt, waker));
-        Begin::Go
+        AttemptStart::Proceed
     }
 
     /// An attempt is over.
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -1,9 +1,9 @@
 //! The watch on discovery, free of I/O: what its bytes tell, when it is held to be broken, and when it is taken up anew.
 //!
 //! One clock for silence. The head of an answer comes at once, since the agent is on the node's own machine, and an empty
-//! line at least every [`BEAT`]; a watch that keeps to neither is broken, whatever TCP says of its connection, and what
+//! line at least every [`HEARTBEAT`]; a watch that keeps to neither is broken, whatever TCP says of its connection, and what
 //! it misses counts as told a few seconds later. While discovery is down its agent is silent, and what that learns at the
-//! return counts at once: so a new watch is tried all the time. Tries are [`APART`] from beginning to beginning, so that
+//! return counts at once: so a new watch is tried all the time. Tries are [`RETRY_SPACING`] from beginning to beginning, so that
 //! one that is ended as soon as it is opened does not keep the node busy. At 350 nodes each talks to an agent of its own.
 
 use elderstage::Time;
@@ -14,17 +14,17 @@
 use crate::values::{Found, NoValue, Values};
 
 /// Wait for the head of an answer.
-const HEAD: Time = 300_000;
+const HEAD_TIMEOUT: Time = 300_000;
 /// An empty line comes as often, where nothing changes.
-const BEAT: Time = 2_000_000;
+const HEARTBEAT: Time = 2_000_000;
 /// What a line may be late on a busy machine. With the wait for a new head a broken watch is replaced within 3 s.
-const LATE: Time = 500_000;
+const HEARTBEAT_SLACK: Time = 500_000;
 /// Least time between the beginnings of two tries.
-const APART: Time = 100_000;
+const RETRY_SPACING: Time = 100_000;
 
 /// A discovery that tells nothing but older versions for so long numbers them anew: half of the time after which what it
 /// has counts as told. Until then it is one that has not caught up, and what it tells would undo what is known.
-const NUMBERED_ANEW: Time = 3_000_000;
+const RENUMBERED_AFTER: Time = 3_000_000;
 
 /// Why a watch is of no more use.
 #[derive(Debug, Error)]
@@ -48,25 +48,25 @@
     older_since: Option<Time>,
     values: Values,
     begun: Time,
-    until: Time,
+    deadline: Time,
 }
 
 impl Watch {
     /// `seq`: version of the list that the node knows; 0 for none.
     pub fn new(seq: u64) -> Watch {
-        Watch { seq, newest: seq, older_since: None, values: Values::default(), begun: 0, until: 0 }
+        Watch { seq, newest: seq, older_since: None, values: Values::default(), begun: 0, deadline: 0 }
     }
 
     /// A watch is being opened; it is to be asked for from this version on.
     pub fn begin(&mut self, now: Time) -> u64 {
         self.values = Values::default();
-        (self.begun, self.until) = (now, now + HEAD);
+        (self.begun, self.deadline) = (now, now + HEAD_TIMEOUT);
         self.seq
     }
 
     /// The head of its answer has come.
     pub fn answered(&mut self, now: Time) {
-        self.until = now + BEAT + LATE;
+        self.deadline = now + HEARTBEAT + HEARTBEAT_SLACK;
     }
 
     /// Bytes of its body have come: the lists that are whole. After an error the next watch begins with the whole list,
@@ -82,7 +82,7 @@
     fn lists(&mut self, now: Time, names: &Names, lists: &mut Vec<List>) -> Result<(), Spoilt> {
         while let Some(found) = self.values.next_found()? {
             // Half a list that never ends is no sign of life.
-            self.until = now + BEAT + LATE;
+            self.deadline = now + HEARTBEAT + HEARTBEAT_SLACK;
             if let Found::Object(text) = found {
                 let list = Directory::parse(&text, names)?;
                 self.follows(now, &list)?;
@@ -97,7 +97,7 @@
     fn follows(&mut self, now: Time, list: &List) -> Result<(), Spoilt> {
         if list.seq < self.newest {
             let since = *self.older_since.get_or_insert(now);
-            if !(list.whole && now >= since + NUMBERED_ANEW) {
+            if !(list.whole && now >= since + RENUMBERED_AFTER) {
                 return Err(Spoilt::Older { found: list.seq, known: self.newest });
             }
         }
@@ -107,12 +107,12 @@
     }
 
     /// When it is broken, if nothing whole comes before.
-    pub fn until(&self) -> Time {
-        self.until
+    pub fn deadline(&self) -> Time {
+        self.deadline
     }
 
     /// It has ended or is broken: when the next one may be opened.
-    pub fn again(&self, now: Time) -> Time {
-        now.max(self.begun + APART)
+    pub fn retry_at(&self, now: Time) -> Time {
+        now.max(self.begun + RETRY_SPACING)
     }
 }
--- a/crates/platform/tests/watch.rs
+++ b/crates/platform/tests/watch.rs
@@ -115,18 +115,18 @@
     let mut now = START;
     for _ in 0..10 {
         now += 2_000 * MS;
-        assert!(now < watch.until(), "a beat every two seconds keeps it");
+        assert!(now < watch.deadline(), "a beat every two seconds keeps it");
         assert_eq!(told(&mut watch, now, "\n"), []);
     }
     let silent_since = now;
     // Bytes that make nothing whole are no sign of life.
     now += 1_000 * MS;
     assert_eq!(told(&mut watch, now, "{\"seq\":2,"), []);
-    let broken = watch.until();
-    let next = watch.again(broken);
+    let broken = watch.deadline();
+    let next = watch.retry_at(broken);
     watch.begin(next);
     // Its head is late once more: one more try.
-    let next = watch.again(watch.until());
+    let next = watch.retry_at(watch.deadline());
     watch.begin(next);
     watch.answered(next + 100 * MS);
     let now = next + 200 * MS;
@@ -142,12 +142,12 @@
     watch.begin(START);
     watch.answered(START + MS);
     let reset = START + 4_000 * MS;
-    assert_eq!(watch.again(reset), reset);
+    assert_eq!(watch.retry_at(reset), reset);
     let (mut now, mut tries) = (reset, 0);
     while now < reset + 1_000 * MS {
         watch.begin(now);
         tries += 1;
-        now = watch.again(now + MS);
+        now = watch.retry_at(now + MS);
     }
     assert!(tries <= 10, "{tries}");
 }
@@ -160,7 +160,7 @@
     // Each watch is accepted and never answered.
     while now < back {
         watch.begin(now);
-        now = watch.again(watch.until());
+        now = watch.retry_at(watch.deadline());
     }
     assert!(now - back <= 300 * MS, "{} ms after the return", (now - back) / MS);
     assert_eq!(watch.begin(now), 3, "from the version that it knows");
