--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -4,7 +4,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use elderstage::{Outcome, ReqId, ServerId};
@@ -58,8 +57,6 @@
     /// Who is told, and where.
     pub engine: ServerId,
     pub dial: SocketAddr,
-    /// An attempt is out that comes for what is held.
-    pub fetching: Arc<AtomicBool>,
 }
 
 /// How an attempt ended.
@@ -85,7 +82,6 @@
         let begun = Instant::now();
         let end = run(&shared, &job, begun + job.timeout);
         job.channel.finish(job.attempt);
-        job.channel.fetching.store(false, Ordering::SeqCst);
         if end.begun {
             job.channel.send(if end.outcome == Outcome::Served {
                 ResponseEvent::Whole
@@ -328,24 +324,14 @@
     }
 }
 
-/// One small exchange without a body. `still`: asked at the last moment whether it is to be sent.
-fn small(
-    shared: &Shared,
-    dial: SocketAddr,
-    text: &str,
-    time: Duration,
-    still: impl Fn() -> bool,
-) -> Result<(Response, Vec<u8>), Cut> {
+/// One small exchange without a body.
+fn small(shared: &Shared, dial: SocketAddr, text: &str, time: Duration) -> Result<(Response, Vec<u8>), Cut> {
     let until = Instant::now() + time;
     let mut link = shared.pool.take(dial, time.min(shared.connect), true).map_err(|error| match error {
         NetError::TimedOut => Cut::TimedOut,
         _ => Cut::Broken,
     })?;
     hold_at!("small-connected-{}", text.split(' ').nth(1).unwrap_or_default().replace('/', "-"));
-    if !still() {
-        link.keep();
-        return Err(Cut::Cancelled);
-    }
     let conn = link.conn();
     conn.limits = HEAD;
     conn.set_write_timeout(Some(time));
@@ -363,7 +349,7 @@
 pub fn probe(shared: &Arc<Shared>, server: ServerId, dial: SocketAddr) {
     let shared = shared.clone();
     go(move || {
-        let (outcome, told) = match small(&shared, dial, "GET /-/load HTTP/1.1\r\n", SMALL, || true) {
+        let (outcome, told) = match small(&shared, dial, "GET /-/load HTTP/1.1\r\n", SMALL) {
             Ok((head, body)) if head.status == 200 => {
                 let header = head.headers.get(report::HEADER).map(str::to_owned);
                 (Outcome::Served, header.or_else(|| String::from_utf8(body).ok()))
@@ -383,12 +369,10 @@
 pub fn release(shared: &Arc<Shared>, job: Release) {
     let shared = shared.clone();
     go(move || {
-        let Release { id, trace, holder, engine, dial, fetching } = job;
+        let Release { id, trace, holder, engine, dial } = job;
         let begun = Instant::now();
         let text = format!("DELETE /kv/leases/{trace} HTTP/1.1\r\n");
-        // A state that an attempt has gone for since is not let go of under it.
-        let still = || !fetching.load(Ordering::SeqCst);
-        let heard = small(&shared, dial, &text, RELEASE, still).is_ok();
+        let heard = small(&shared, dial, &text, RELEASE).is_ok();
         let took_ms = begun.elapsed().as_millis() as u64;
         tracing::debug!(target: "release", %trace, holder = %holder.0, engine = %engine.0, heard, took_ms);
         if !heard {
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -72,9 +72,8 @@
 
     fn command(&mut self, command: Command) {
         match command {
-            Command::Send { id, attempt, server, dial, timeout, harmless, fetches } => {
+            Command::Send { id, attempt, server, dial, timeout, harmless } => {
                 let Some(channel) = self.channels.get(&id).cloned() else { return };
-                channel.fetching.store(fetches, Ordering::SeqCst);
                 let timeout = Duration::from_micros(timeout);
                 engine::attempt(
                     &self.shared,
@@ -103,9 +102,7 @@
                 }
             }
             Command::Release { id, trace, holder, engine, dial } => {
-                let fetching =
-                    self.channels.get(&id).map(|channel| channel.fetching.clone()).unwrap_or_default();
-                engine::release(&self.shared, engine::Release { id, trace, holder, engine, dial, fetching });
+                engine::release(&self.shared, engine::Release { id, trace, holder, engine, dial });
             }
             Command::Probe { server, dial } => engine::probe(&self.shared, server, dial),
             Command::Forget { id } => {
--- a/crates/node/src/response.rs
+++ b/crates/node/src/response.rs
@@ -1,7 +1,6 @@
 //! The response channel of one request: between its attempts, the event loop, and the coroutine of its client.
 
 use std::collections::VecDeque;
-use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use elderstage_net::Waker;
@@ -63,15 +62,13 @@
 /// The channel.
 pub struct ResponseChannel {
     pub parts: Parts,
-    /// An attempt is out that comes for what a reader holds: nothing is let go of meanwhile.
-    pub fetching: Arc<AtomicBool>,
     inner: Mutex<Inner>,
     client: Waker,
 }
 
 impl ResponseChannel {
     pub fn new(parts: Parts, client: Waker) -> Arc<ResponseChannel> {
-        Arc::new(ResponseChannel { parts, fetching: Arc::default(), inner: Mutex::default(), client })
+        Arc::new(ResponseChannel { parts, inner: Mutex::default(), client })
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -55,7 +55,7 @@
 /// What is to be done on sockets.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
-    /// `harmless`: it has no effect, or may be repeated. `fetches`: it comes for what a reader holds.
+    /// `harmless`: it has no effect, or may be repeated.
     Send {
         id: ReqId,
         attempt: u32,
@@ -63,7 +63,6 @@
         dial: SocketAddr,
         timeout: Time,
         harmless: bool,
-        fetches: bool,
     },
     /// Stops an attempt that has not been written yet: its engine drains or has left.
     Withdraw {
@@ -511,9 +510,7 @@
         // A read leaves a state of its own and comes for none: what an earlier reader may hold is let go of meanwhile.
         self.leases.wanted(id, !reads);
         match dial {
-            Some(dial) => {
-                out.push(Command::Send { id, attempt, server, dial, timeout, harmless, fetches: !reads })
-            }
+            Some(dial) => out.push(Command::Send { id, attempt, server, dial, timeout, harmless }),
             None => self.ended(now, id, attempt, Outcome::NoConnection, 0, None, 0),
         }
     }
