Waves of a release fit into the time to let go; client-gone tests wait until the node has seen it

Need: a constant of 60 ms between waves held five only where the settings give 300 ms. They are a fifth of that time now, 5 to 60 ms; nothing changes at 300 ms and above. Test with 50 to 2,000 ms: with the constant '1 calls in 50 ms'. The tests of clients that leave took the answer to a later request for the sign that the end of an earlier client had been seen; two coroutines may run in another order: beside six busy loops 2 of 10 runs failed, one test each. They wait at a hold point now: 4 runs of all and 10 of these, beside six busy loops, no failure.

--- a/crates/cli/tests/node/client_gone.rs
+++ b/crates/cli/tests/node/client_gone.rs
@@ -83,6 +83,18 @@
     }
 }
 
+/// The client of this request leaves, and the node has taken that into account.
+fn leave_and_be_noticed(bed: &Bed, node: &Node, trace: &str, client: Client, how: Leaves) -> Option<Client> {
+    let step = format!("client-gone-{trace}");
+    bed.holds.hold(&step);
+    let kept = leave(client, how);
+    bed.holds.until_reached(&step);
+    bed.holds.let_go(&step);
+    // The news is in the queue: what comes behind it finds it taken.
+    node.settle();
+    kept
+}
+
 /// A usual request is served; the first that its reader gets must be this one.
 fn serves_next(bed: &Bed, node: &Node, trace: &str) {
     let mut client = node.client();
@@ -124,8 +136,7 @@
         let mut client = node.client();
         client.send(&patient_chat(&trace, "plain"));
         bed.holds.until_reached(&step);
-        let _kept = leave(client, how);
-        node.settle();
+        let _kept = leave_and_be_noticed(&bed, &node, &trace, client, how);
         bed.holds.let_go(&step);
         serves_next(&bed, &node, &format!("stays-{n}"));
     }
@@ -143,8 +154,7 @@
             client.send(&patient_chat(&trace, "plain"));
             let (mut line, got) = bed.readers[0].take();
             assert_eq!(got.trace(), trace);
-            let _kept = leave(client, how);
-            node.settle();
+            let _kept = leave_and_be_noticed(&bed, &node, &trace, client, how);
             if may_cancel {
                 assert!(!line.until_ended(), "the read is called off");
             } else {
@@ -168,8 +178,7 @@
         client.send(&patient_chat(&trace, "plain"));
         let (reader, (mut line, got)) = take_at_any(&bed.readers);
         assert_eq!(got.trace(), trace);
-        let _kept = leave(client, how);
-        node.settle();
+        let _kept = leave_and_be_noticed(&bed, &node, &trace, client, how);
         line.write("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n");
         bed.readers[reader].rest(line);
         // It may have left something: that is let go of, which is the last word on this request.
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -14,6 +14,7 @@
 use crate::Shared;
 use crate::connections::{ConnectionPermit, GRACE};
 use crate::event_loop::Event;
+use crate::hold_at;
 use crate::memory::MemoryPermit;
 use crate::response::{Parts, ResponseChannel, ResponseEvent};
 
@@ -313,6 +314,7 @@
         }
         if (!out.is_empty() && conn.write(&out).is_err()) || (!whole && ahead.look(shared, conn)) {
             shared.submit(Event::Hub(Input::Gone { id }));
+            hold_at!("client-gone-{}", channel.parts.trace);
             return false;
         }
         if whole {
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -12,7 +12,7 @@
 
 use crate::ask::Ask;
 use crate::counting::{Counting, End};
-use crate::leases::{Call, Leases, WAVE};
+use crate::leases::{Call, Leases, wave_interval};
 use crate::list::{Directory, List};
 use crate::reach::Reach;
 use crate::report;
@@ -430,7 +430,7 @@
         }
         let engines: Vec<ServerId> = whom.iter().map(|(server, _)| server.clone()).collect();
         self.leases.called(id, &call.holder, &engines);
-        self.waves.push(Reverse((now + WAVE, id, call.holder.clone(), call.wave)));
+        self.waves.push(Reverse((now + wave_interval(self.let_go_by), id, call.holder.clone(), call.wave)));
         for (engine, dial) in whom {
             self.counts.releases += 1;
             let (trace, holder) = (call.trace.clone(), call.holder.clone());
--- a/crates/platform/src/leases.rs
+++ b/crates/platform/src/leases.rs
@@ -3,7 +3,7 @@
 //! A reader that has read a prompt holds its state until a writer takes it or it is told to let go. The module says
 //! when; this keeps where, and says a release again until it has reached an engine: the time that the rule gives goes
 //! on while connections do not come up. A release is known by the request's id alone and every engine accepts it.
-//! The first call goes to the holder alone and is all there is when all is well. What is not heard within [`WAVE`]
+//! The first call goes to the holder alone and is all there is when all is well. What is not heard within [`wave_interval`]
 //! goes to one engine of every zone at once (`reach.rs`), and so does what is late already: one engine after the
 //! other took 0.12 s each, while a cut zone left two of three silent.
 
@@ -16,12 +16,18 @@
 /// Waves that go out while others are not answered yet; later ones wait until all calls have ended. With four zones
 /// a release costs 17 calls within the time of the rule at the most, and about 17 a second after it.
 const QUICK: u32 = 5;
-/// Time between two such waves, in microseconds. A call that is heard takes a few milliseconds, on a new connection
-/// some tens; the rule's time (300 ms and more) holds four of them.
-pub const WAVE: Time = 60_000;
+/// Longest and shortest time between two such waves, in microseconds. A call that is heard takes a few milliseconds, on a
+/// new connection some tens.
+const WAVE_MAX: Time = 60_000;
+const WAVE_MIN: Time = 5_000;
 /// A release is not said again after this time: the engines' own limits have acted by then. In microseconds.
 const LIFE: Time = 10_000_000;
 
+/// Time between two waves of a release: the time that the settings give for it has to hold the quick ones.
+pub fn wave_interval(let_go_by: Time) -> Time {
+    (let_go_by / Time::from(QUICK)).clamp(WAVE_MIN, WAVE_MAX)
+}
+
 #[derive(Debug)]
 struct Lease {
     trace: Box<str>,
@@ -145,7 +151,7 @@
         if over { self.next(id, holder, now) } else { None }
     }
 
-    /// [`WAVE`] after a wave went out: the next one, if it was not heard.
+    /// [`wave_interval`] after a wave went out: the next one, if it was not heard.
     pub fn due(&mut self, id: ReqId, holder: &ServerId, wave: u32, now: Time) -> Option<Call> {
         let telling = self.telling(id, holder)?;
         let stands = telling.waves == wave + 1 && telling.waves < QUICK;
--- a/crates/platform/tests/hub.rs
+++ b/crates/platform/tests/hub.rs
@@ -373,3 +373,15 @@
         "its own engine runs on"
     );
 }
+
+/// The waves of a release that is not heard fit into the time that the settings give, however short that is.
+#[test]
+fn waves_of_a_release_fit_into_the_time_to_let_go() {
+    for let_go_by in [50 * MS, 100 * MS, 300 * MS, 2_000 * MS] {
+        let mut world = World::with(Settings { let_go_by, ..example_settings() });
+        let (attempt, _) = sent(&world.arrive(1, "late-read")).unwrap();
+        let done = world.end(1, attempt, Outcome::TimedOut);
+        let waves = 1 + world.pass(let_go_by).iter().filter(|c| matches!(c, Command::Release { .. })).count();
+        assert!(!released(&done).is_empty() && waves >= 4, "{waves} calls in {} ms", let_go_by / MS);
+    }
+}
