--- a/crates/standin/src/platform/engine.rs
+++ b/crates/standin/src/platform/engine.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use elderstage_protocol::http::{self, Limits, Request};
 
@@ -217,13 +217,16 @@
         if case == "more-later" {
             // On a thread of its own: the next request on this connection may be here before it.
             let copy = stream.try_clone();
+            let (doing, first) = (self.clone(), Instant::now());
             std::thread::spawn(move || {
                 std::thread::sleep(LATER);
                 let mut out = Vec::new();
                 http::write_stream_head(200, &[("content-type", "text/event-stream")], &mut out);
                 http::write_chunk(b"data: {\"of\":\"nobody\"}\n\ndata: [DONE]\n\n", &mut out);
                 out.extend_from_slice(http::LAST_CHUNK);
-                copy.and_then(|mut copy| copy.write_all(&out))
+                let written = copy.and_then(|mut copy| copy.write_all(&out));
+                doing.traffic.note(&doing.name, doing.role, Pass::SecondAnswer { after: first.elapsed() });
+                written
             });
         }
         (if sent { How::Served } else { How::MayHaveRun }, sent)
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -41,6 +41,10 @@
         trace: String,
     },
     Probed,
+    /// A second answer was written, so long after the first.
+    SecondAnswer {
+        after: Duration,
+    },
     /// A request that no client can have sent.
     Unknown {
         what: String,
@@ -174,7 +178,7 @@
                     }
                 }
                 Pass::Unknown { what } => broken.push(format!("an engine got {what}")),
-                Pass::Released { .. } | Pass::Probed => {}
+                Pass::Released { .. } | Pass::Probed | Pass::SecondAnswer { .. } => {}
             }
         }
         broken
--- a/crates/tally/src/lib.rs
+++ b/crates/tally/src/lib.rs
@@ -168,16 +168,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn groups_are_bounded_and_nothing_is_lost() {
-        let mut tally = Tally::default();
-        for n in 0..3 * MOST_GROUPS {
-            tally.of(&Key { class: format!("c{n}"), ..Key::default() }).asked += 1;
-        }
-        assert_eq!(tally.len(), MOST_GROUPS + 1);
-        assert_eq!(tally.sum().asked, 3 * MOST_GROUPS as u64);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/tally/src/tests.rs
@@ -0,0 +1,11 @@
+use super::*;
+
+#[test]
+fn groups_are_bounded_and_nothing_is_lost() {
+    let mut tally = Tally::default();
+    for n in 0..3 * MOST_GROUPS {
+        tally.of(&Key { class: format!("c{n}"), ..Key::default() }).asked += 1;
+    }
+    assert_eq!(tally.len(), MOST_GROUPS + 1);
+    assert_eq!(tally.sum().asked, 3 * MOST_GROUPS as u64);
+}
