--- a/crates/cli/tests/node/bed.rs
+++ b/crates/cli/tests/node/bed.rs
@@ -7,7 +7,7 @@
 use elderstage_standin::platform::Discovery;
 use serde_json::json;
 
-use crate::peer::Peer;
+use crate::peer::{Peer, streamed};
 use crate::support::*;
 
 /// Engines, and the discovery that lists them.
@@ -64,6 +64,21 @@
         [of("reader", &self.readers), of("writer", &self.writers)].concat()
     }
 
+    /// A usual request is served by the first reader and the first writer; the next that each gets must be this one.
+    pub fn serves(&self, node: &Node, trace: &str) {
+        let mut client = node.client();
+        client.send(&patient_chat(trace, "plain"));
+        let (mut line, got) = self.readers[0].take();
+        assert_eq!(got.trace(), trace);
+        line.has_read();
+        self.readers[0].rest(line);
+        let (mut line, got) = self.writers[0].take();
+        assert_eq!(got.trace(), trace);
+        line.streams();
+        self.writers[0].rest(line);
+        assert!(streamed(&client.answer()), "{trace}");
+    }
+
     /// A node that asks nobody for its load, so that each connection at a peer is an attempt's or a release's.
     pub fn node(&self, change: impl Fn(&mut Value)) -> Node {
         start_with(&self.platform, Some(&self.holds), |config| {
--- a/crates/cli/tests/node/client_gone.rs
+++ b/crates/cli/tests/node/client_gone.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::bed::{Bed, patient_chat};
-use crate::peer::{streamed, take_at_any};
+use crate::peer::take_at_any;
 use crate::support::*;
 
 #[test]
@@ -95,21 +95,6 @@
     kept
 }
 
-/// A usual request is served; the first that its reader gets must be this one.
-fn serves_next(bed: &Bed, node: &Node, trace: &str) {
-    let mut client = node.client();
-    client.send(&patient_chat(trace, "plain"));
-    let (mut line, got) = bed.readers[0].take();
-    assert_eq!(got.trace(), trace);
-    line.has_read();
-    bed.readers[0].rest(line);
-    let (mut line, got) = bed.writers[0].take();
-    assert_eq!(got.trace(), trace);
-    line.streams();
-    bed.writers[0].rest(line);
-    assert!(streamed(&client.answer()));
-}
-
 #[test]
 fn nothing_is_sent_on_for_a_client_that_left_in_the_middle_of_its_request() {
     let bed = Bed::new(1, 1);
@@ -120,7 +105,7 @@
         client.send(&text[..text.len() - 1]);
         let _kept = leave(client, how);
         node.settle();
-        serves_next(&bed, &node, &format!("stays-{how:?}"));
+        bed.serves(&node, &format!("stays-{how:?}"));
     }
 }
 
@@ -138,7 +123,7 @@
         bed.holds.until_reached(&step);
         let _kept = leave_and_be_noticed(&bed, &node, &trace, client, how);
         bed.holds.let_go(&step);
-        serves_next(&bed, &node, &format!("stays-{n}"));
+        bed.serves(&node, &format!("stays-{n}"));
     }
 }
 
@@ -163,7 +148,7 @@
             bed.readers[0].take_release(&trace);
             assert!(bed.writers[0].accept_now().is_none(), "{how:?}: a writer was asked for nobody");
         }
-        serves_next(&bed, &node, "stays-1");
+        bed.serves(&node, "stays-1");
     }
 }
 
--- a/crates/cli/tests/node/fleet.rs
+++ b/crates/cli/tests/node/fleet.rs
@@ -4,8 +4,8 @@
 
 use serde_json::json;
 
-use crate::bed::{Bed, host, list, patient_chat};
-use crate::peer::{Peer, WATCH, chunk, streamed};
+use crate::bed::{Bed, host, list};
+use crate::peer::{Peer, chunk, tell_watch};
 use crate::support::*;
 
 /// Thirty nodes, told of a reader that has just started at different moments, some of them only at their own start. What
@@ -71,23 +71,9 @@
     });
     let idle: Vec<Client> = (0..400).filter_map(|_| Client::to(node.addr)).collect();
     assert_eq!(node.client().get("/-/ready"), Some(200));
-    // Discovery is back: watches that were given up meanwhile are passed over.
-    let told = WATCH.to_owned() + &chunk(&(list(2, true, &bed.hosts()) + "\n"));
-    let mut watch = discovery.take().0;
-    watch.write(&told);
-    node.settle();
-    while watch.has_ended() {
-        watch = discovery.take().0;
-        watch.write(&told);
-        node.settle();
-    }
-    let mut client = node.client();
-    client.send(&patient_chat("after-1", "plain"));
-    let (mut line, _) = bed.readers[0].take();
-    line.has_read();
-    let (mut line, _) = bed.writers[0].take();
-    line.streams();
-    assert!(streamed(&client.answer()));
+    // Discovery is back.
+    let _watch = tell_watch(&discovery, &node, &list(2, true, &bed.hosts()));
+    bed.serves(&node, "after-1");
     drop(idle);
     let said = node.said();
     assert!(!said.contains("accept"), "{said}");
@@ -107,32 +93,13 @@
         config["known"] = json!({"seq": 1, "whole": true, "hosts": all("DRAINING")});
         config["discovery"] = discovery.addr.to_string().into();
     });
-    let serves = |trace: &str| {
-        let mut client = node.client();
-        client.send(&patient_chat(trace, "plain"));
-        let (mut line, _) = bed.readers[0].take();
-        line.has_read();
-        bed.readers[0].rest(line);
-        let (mut line, _) = bed.writers[0].take();
-        line.streams();
-        bed.writers[0].rest(line);
-        assert!(streamed(&client.answer()), "{trace}");
-    };
-    serves("known-1");
-    let told = WATCH.to_owned() + &chunk(&(list(2, true, &all("DRAINING")) + "\n"));
-    let mut watch = discovery.take().0;
-    watch.write(&told);
-    node.settle();
-    while watch.has_ended() {
-        watch = discovery.take().0;
-        watch.write(&told);
-        node.settle();
-    }
+    bed.serves(&node, "known-1");
+    let mut watch = tell_watch(&discovery, &node, &list(2, true, &all("DRAINING")));
     for (n, mut other) in all("DELETED").into_iter().take(1_022).enumerate() {
         other["dial"] = "".into();
         watch.write(&chunk(&(list(3 + n as u64, false, &[other]) + "\n")));
     }
     std::thread::sleep(Duration::from_millis(1));
-    serves("listed-1");
+    bed.serves(&node, "listed-1");
     assert!(gone.accept_now().is_none());
 }
--- a/crates/cli/tests/node/peer.rs
+++ b/crates/cli/tests/node/peer.rs
@@ -218,6 +218,20 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
+/// Answers the node's watch on this discovery with a first list, and gives the watch. On a busy machine the node may have
+/// given one up before it was answered: the next one is told the same.
+pub fn tell_watch(discovery: &Peer, node: &Node, list: &str) -> Line {
+    let text = WATCH.to_owned() + &chunk(&(list.to_owned() + "\n"));
+    loop {
+        let (mut watch, _) = discovery.take();
+        watch.write(&text);
+        node.settle();
+        if !watch.has_ended() {
+            return watch;
+        }
+    }
+}
+
 /// Waits for the next request at any of these, and tells at which; releases are granted and passed over.
 pub fn take_at_any(peers: &[Peer]) -> (usize, (Line, Got)) {
     let mut taken = None;
