The drain test waits until the list has been taken, at a hold point

Found reading the change again: the test took requests that went to the other writer for the sign that the list had come, but the held attempt alone steers them there, so the order was forced only as long as the list came within some 60 ms. It waits at a hold point (tests only) and for the queue behind it now.

--- a/crates/cli/tests/node/drains.rs
+++ b/crates/cli/tests/node/drains.rs
@@ -31,12 +31,13 @@
             };
             assert!(Platform::until(LONG, came));
             let leaver = at.unwrap();
-            bed.platform.discovery.change(vec![host(
-                &format!("writer-{leaver}"),
-                &bed.writers[leaver],
-                health,
-            )]);
-            until_listed(&bed, &node, leaver);
+            bed.holds.hold("listed-2");
+            let drained = host(&format!("writer-{leaver}"), &bed.writers[leaver], health);
+            bed.platform.discovery.change(vec![drained]);
+            bed.holds.until_reached("listed-2");
+            bed.holds.let_go("listed-2");
+            // The change is in the queue: what comes behind it finds it taken.
+            node.settle();
             bed.holds.let_go(&step);
             let (mut line, got) = bed.writers[1 - leaver].take();
             assert_eq!(got.trace(), trace);
@@ -50,29 +51,6 @@
     }
 }
 
-/// Waits until the node's own choices show that it has this change of the list.
-fn until_listed(bed: &Bed, node: &Node, leaver: usize) {
-    let mut n = 0;
-    let obeyed = || {
-        (0..6).all(|_| {
-            n += 1;
-            let trace = format!("listed-{n}");
-            let mut client = node.client();
-            client.send(&patient_chat(&trace, "plain"));
-            let (mut line, got) = bed.readers[0].take();
-            assert_eq!(got.trace(), trace, "{got:?}");
-            line.has_read();
-            bed.readers[0].rest(line);
-            let (writer, (mut line, _)) = take_at_any(&bed.writers);
-            line.streams();
-            bed.writers[writer].rest(line);
-            assert!(streamed(&client.answer()));
-            writer != leaver
-        })
-    };
-    assert!(Platform::until(LONG, obeyed), "the change does not come through");
-}
-
 /// A first read broke and what it may have left is let go of; that call waits for its connection while the prompt is read
 /// elsewhere and a writer is asked. It is said all the same: engines keep what an attempt waits for, and what the first
 /// reader holds would be held past its time if the call were left out.
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -15,6 +15,7 @@
 
 use crate::Shared;
 use crate::event_loop::Event;
+use crate::hold_at;
 
 /// Wait for a connection: it is on the same machine.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -78,6 +79,7 @@
                     tracing::debug!(target: "discovery", seq, whole, hosts);
                     shared.submit(Event::Hub(Input::Listed { list, restored: false }));
                     shared.listed.store(true, Ordering::SeqCst);
+                    hold_at!("listed-{seq}");
                 }
                 held.clear();
                 if body.done() && body.framing() != Framing::UntilClose {
