--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -12,7 +12,7 @@
         for id in self.held().filter(|id| only.is_none_or(|only| only == *id)) {
             let Some(request) = self.requests.get(&id) else { continue };
             let worth = self.set.classes.get(request.ask.class).map_or(0.0, |class| class.worth);
-            let kept = self.views.values().map(|view| view.kept(&request.ask)).fold(0.0, f64::max);
+            let kept = self.scan().map(|view| view.kept(&request.ask)).fold(0.0, f64::max);
             let gain = worth * request.ask.prompt / (request.ask.prompt - kept).max(LEAST_READ);
             queue.push((request.late(now), request.over, Reverse(gain.to_bits()), request.arrived, id));
         }
@@ -66,7 +66,7 @@
         let (ask, left) = (&request.ask, request.left(now));
         let usable = |view: &&View| Self::well(view, ask.class, now) && self.may_send(now, id, Some(view));
         let (mut readers, writers): (Vec<&View>, Vec<&View>) =
-            self.views.values().filter(usable).partition(|v| v.role == Role::Prefill);
+            self.scan().filter(usable).partition(|v| v.role == Role::Prefill);
         // Writers under their memory mark that begin a stream in time: guards against reads that none takes.
         let room = |v: &&View| {
             let hand = v.oldest(now).max(self.predict(v, Kind::Near, ask.prompt, now));
@@ -147,7 +147,7 @@
             return;
         }
         let (salt, spacing) = (self.random().to_string(), (FRESH * self.least_aim()) as Time);
-        let near = self.views.values().filter(|v| v.role != Role::Prefill && v.entry.cell == cell);
+        let near = self.scan().filter(|v| v.role != Role::Prefill && v.entry.cell == cell);
         let near = near.filter(|v| v.entry.listed == Listed::Running && now >= v.probed + spacing);
         let mut near: Vec<_> = near.map(|v| v.entry.server.clone()).collect();
         near.sort_by_cached_key(|server| hash(&server.0, &salt));
@@ -166,7 +166,7 @@
         let (wary, jam) = (self.wary(false, request.ask.class, now), self.jam(cell, now));
         let free = |v: &View| !request.late(now) || self.memory(v, now) < ABSORB_MARK;
         let usable = |v: &&View| v.role != Role::Prefill && free(v) && self.may_send(now, id, Some(v));
-        let candidates = self.views.values().filter(usable);
+        let candidates = self.scan().filter(usable);
         let key = |view: &View| {
             let far = hand_kind(view, cell) == Kind::Far;
             let tokens = self.held_tokens(view, now);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 mod requests;
 mod tunables;
 mod views;
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -41,6 +42,8 @@
     asked: Option<Time>,
     /// When the next stream is moved, when all are to be, and when this front ends.
     stop: Option<(Time, Time, Time)>,
+    /// Servers that passes over the list have looked at.
+    examined: Cell<u64>,
 }
 
 impl Router {
@@ -91,6 +94,16 @@
         self.set = set;
     }
 
+    /// Servers looked at by all passes over the list since the start: the work that grows with the fleet.
+    pub fn examined(&self) -> u64 {
+        self.examined.get()
+    }
+
+    /// One pass over the list.
+    fn scan(&self) -> impl Iterator<Item = &View> {
+        self.views.values().inspect(|_| self.examined.set(self.examined.get() + 1))
+    }
+
     fn random(&mut self) -> f64 {
         self.seed ^= self.seed << 13;
         self.seed ^= self.seed >> 7;
--- a/src/policy/monitor.rs
+++ b/src/policy/monitor.rs
@@ -30,7 +30,7 @@
 
     pub(super) fn totals(&mut self) {
         let (mut all, mut readers, mut writers) = ([0.0; 3], BTreeMap::new(), BTreeMap::new());
-        for view in self.views.values().filter(|v| v.entry.listed == Listed::Running) {
+        for view in self.scan().filter(|v| v.entry.listed == Listed::Running) {
             let cells = if view.role == Role::Prefill { &mut readers } else { &mut writers };
             *cells.entry(view.entry.cell).or_insert(0.0) += view.entry.weight;
             all[view.role as usize] += view.entry.weight;
@@ -102,7 +102,7 @@
 
     /// Age of the oldest state of ours that waits for a cell's link: guards against jammed links.
     pub(super) fn jam(&self, cell: Option<u32>, now: Time) -> f64 {
-        let far = self.views.values().flat_map(View::waiting).filter(|job| job.kind == Kind::Far);
+        let far = self.scan().flat_map(View::waiting).filter(|job| job.kind == Kind::Far);
         far.filter(|job| job.from == cell).map(|job| (now - job.sent) as f64).fold(0.0, f64::max)
     }
 
@@ -161,7 +161,7 @@
     /// guards against failures that each front meets at one server after the other.
     pub(super) fn wary(&self, reads: bool, class: usize, now: Time) -> impl Fn(&View) -> bool + use<> {
         let life = (PROVEN * self.least_aim()) as Time;
-        let of = self.views.values().filter(|v| (v.role == Role::Prefill) == reads);
+        let of = self.scan().filter(|v| (v.role == Role::Prefill) == reads);
         let wary = of.filter(|v| Self::suspect(v, class).is_some()).count() >= WARY;
         move |view| wary && view.health.get(&class).is_none_or(|health| now >= health.answered + life)
     }
