--- a/crates/cli/tests/node/fleet.rs
+++ b/crates/cli/tests/node/fleet.rs
@@ -103,3 +103,63 @@
     bed.serves(&node, "listed-1");
     assert!(gone.accept_now().is_none());
 }
+
+/// CPU seconds that a process has used.
+fn cpu_seconds(node: &Node) -> f64 {
+    let tasks = std::fs::read_dir(format!("/proc/{}/task", node.child.id())).unwrap();
+    let used = tasks.filter_map(|task| std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok());
+    used.filter_map(|text| text.split(' ').next()?.parse::<f64>().ok()).sum::<f64>() / 1e9
+}
+
+/// The CPU that a node needs for the same requests before so many servers, one in twenty of which leave and return
+/// meanwhile. Many servers share an engine's socket.
+fn cpu_before(servers: usize) -> f64 {
+    const CLIENTS: usize = 6;
+    const EACH: usize = 40;
+    const CELL: usize = 6;
+    let platform = Platform::start(4, 8).unwrap();
+    let (readers, writers) = platform.engines.split_at(4);
+    let entry = |n: usize, health: &str| {
+        let (class, engines) = if n % CELL < 2 { ("reads", readers) } else { ("writes", writers) };
+        json!({"host": format!("s-{n:08x}"), "dial": engines[n % engines.len()].addr.to_string(), "site": "here",
+            "class": class, "block": n / CELL, "health": health, "share": 1.0, "born_ms": 0})
+    };
+    let all = |health: &str| (0..servers).map(|n| entry(n, health)).collect::<Vec<Value>>();
+    platform.discovery.change(all("SERVING"));
+    let node = start(&platform, |config| {
+        config["settings"]["n-instances"] = 300.into();
+        config["known"]["hosts"] = Value::Array(all("SERVING"));
+    });
+    let before = cpu_seconds(&node);
+    std::thread::scope(|scope| {
+        for n in 0..CLIENTS {
+            let node = &node;
+            scope.spawn(move || {
+                for m in 0..EACH {
+                    assert!(
+                        whole(&node.ask(&format!("large-{n}x{m}"), "plain")),
+                        "{servers} servers, {n}x{m}"
+                    );
+                }
+            });
+        }
+        for round in 0..4 {
+            let part = |health| (0..servers).filter(|n| n % 20 == round).map(|n| entry(n, health)).collect();
+            platform.discovery.change(part("DRAINING"));
+            std::thread::sleep(Duration::from_millis(100));
+            platform.discovery.change(part("SERVING"));
+        }
+    });
+    cpu_seconds(&node) - before
+}
+
+/// The platform's bound on CPU for a fleet with sixteen times the servers; see `tests/scale.rs` for the counts.
+#[test]
+fn a_node_before_thousands_of_servers_needs_hardly_more_cpu() {
+    let [usual, large] = [192, 3_192].map(cpu_before);
+    let most = 1.4 * usual + 0.02 + 0.03 * 3.0;
+    assert!(
+        large <= most,
+        "{large:.3} s before 3,192 servers, {usual:.3} s before 192: {most:.3} s at the most"
+    );
+}
--- a/crates/cli/tests/node/main.rs
+++ b/crates/cli/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod drains;
 mod fleet;
+mod held_state;
 mod input;
 mod outcomes;
 mod peer;
