Held state is let go of beside an attempt that may never have arrived

Cause: a request written to a link that passes nothing on was taken for arrived. Engines that run are kept by zone: a wave of a release sorted all.

--- a/crates/cli/tests/node/held_state.rs
+++ b/crates/cli/tests/node/held_state.rs
@@ -43,3 +43,21 @@
         assert!(streamed(&client.answer()), "{class}");
     }
 }
+
+/// The attempt had arrived and was turned away after the release, which let go of nothing then: it is said again.
+#[test]
+fn a_state_is_let_go_of_again_when_the_attempt_that_waited_for_it_is_turned_away() {
+    let bed = Bed::new(1, 1);
+    let node = bed.node(|config| config["settings"]["limits"]["most-tries"] = 2.into());
+    let mut client = node.client();
+    client.send(&patient_chat("away-1", "plain"));
+    let (mut line, _) = bed.readers[0].take();
+    line.has_read();
+    bed.readers[0].rest(line);
+    let (mut attempt, _) = bed.writers[0].take();
+    until_released(&bed, &attempt, "away-1");
+    attempt.write("HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\ncontent-length: 0\r\n\r\n");
+    bed.writers[0].rest(attempt);
+    assert_eq!(client.answer().status, 503);
+    bed.readers[0].take_release("away-1");
+}
--- a/crates/cli/tests/node/retries.rs
+++ b/crates/cli/tests/node/retries.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 
 use crate::bed::{Bed, patient_chat};
-use crate::peer::{streamed, take_at_any};
+use crate::peer::{Peer, streamed, take_at_any};
 use crate::support::*;
 
 /// The first reader's answer comes after the node stopped waiting for it.
@@ -33,6 +33,11 @@
     assert!(bed.writers[0].take_now().is_none(), "one charge");
 }
 
+/// Whether a request other than a release has come: what is held is let go of beside attempts, at any engine.
+fn attempt_has_come(engine: &Peer) -> bool {
+    std::iter::from_fn(|| engine.take_now()).any(|(_, got)| got.head.method != "DELETE")
+}
+
 /// A class whose repeats its engines drop for a time: inside it a lost answer is asked for again, outside never.
 #[test]
 fn a_repeat_goes_out_inside_its_window_only() {
@@ -64,10 +69,7 @@
             }
         }
         node.settle();
-        assert!(
-            bed.writers.iter().all(|writer| writer.take_now().is_none()),
-            "{window_ms} ms: one attempt too many"
-        );
+        assert!(!bed.writers.iter().any(attempt_has_come), "{window_ms} ms: one attempt too many");
     }
 }
 
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -54,6 +54,8 @@
     pub id: ReqId,
     pub trace: Box<str>,
     pub holder: ServerId,
+    /// Which release of the request it belongs to.
+    pub round: u32,
     /// Who is told, and where.
     pub engine: ServerId,
     pub dial: SocketAddr,
@@ -369,7 +371,7 @@
 pub fn release(shared: &Arc<Shared>, job: Release) {
     let shared = shared.clone();
     go(move || {
-        let Release { id, trace, holder, engine, dial } = job;
+        let Release { id, trace, holder, round, engine, dial } = job;
         let begun = Instant::now();
         let text = format!("DELETE /kv/leases/{trace} HTTP/1.1\r\n");
         let heard = small(&shared, dial, &text, RELEASE).is_ok();
@@ -380,7 +382,7 @@
             let left = RELEASE.saturating_sub(begun.elapsed());
             elderstage_net::sleep(left.min(AGAIN));
         }
-        shared.submit(Event::Hub(Input::Said { id, holder, engine, heard }));
+        shared.submit(Event::Hub(Input::Said { id, holder, round, engine, heard }));
     });
 }
 
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -101,8 +101,8 @@
                     channel.send(ResponseEvent::Last(last));
                 }
             }
-            Command::Release { id, trace, holder, engine, dial } => {
-                engine::release(&self.shared, engine::Release { id, trace, holder, engine, dial });
+            Command::Release { id, trace, holder, round, engine, dial } => {
+                engine::release(&self.shared, engine::Release { id, trace, holder, round, engine, dial });
             }
             Command::Probe { server, dial } => engine::probe(&self.shared, server, dial),
             Command::Forget { id } => {
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -33,7 +33,7 @@
     /// A list came from discovery.
     Listed { list: List, restored: bool },
     /// A release was said to an engine; `heard`: it has answered.
-    Said { id: ReqId, holder: ServerId, engine: ServerId, heard: bool },
+    Said { id: ReqId, holder: ServerId, round: u32, engine: ServerId, heard: bool },
     /// The node ends, within this time.
     Stopping { within: Time },
     /// New figures for the same classes, kinds and zones.
@@ -85,6 +85,8 @@
         id: ReqId,
         trace: Box<str>,
         holder: ServerId,
+        /// Which release of the request it belongs to.
+        round: u32,
         /// Who is told: every engine passes it on.
         engine: ServerId,
         dial: SocketAddr,
@@ -121,6 +123,16 @@
     over: bool,
 }
 
+/// When the next wave of a release is due.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct WaveDue {
+    at: Time,
+    id: ReqId,
+    holder: ServerId,
+    round: u32,
+    wave: u32,
+}
+
 /// What a node has counted since its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -155,7 +167,7 @@
     zone: u32,
     let_go_by: Time,
     /// When the next wave of a release is due.
-    waves: BinaryHeap<Reverse<(Time, ReqId, ServerId, u32)>>,
+    waves: BinaryHeap<Reverse<WaveDue>>,
     timers: BinaryHeap<Reverse<(Time, u64)>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -226,7 +238,7 @@
 
     pub fn next_timer(&self) -> Option<Time> {
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
-        let wave = self.waves.peek().map(|Reverse((at, ..))| *at);
+        let wave = self.waves.peek().map(|Reverse(due)| due.at);
         timer.into_iter().chain(wave).min()
     }
 
@@ -239,9 +251,9 @@
             self.timers.pop();
             self.events.push_back(Event::Timer { name });
         }
-        while self.waves.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
-            let Some(Reverse((_, id, holder, wave))) = self.waves.pop() else { break };
-            if let Some(call) = self.leases.due(id, &holder, wave, now) {
+        while self.waves.peek().is_some_and(|Reverse(due)| due.at <= now) {
+            let Some(Reverse(WaveDue { id, holder, round, wave, .. })) = self.waves.pop() else { break };
+            if let Some(call) = self.leases.due(id, &holder, round, wave, now) {
                 self.counts.releases_again += 1;
                 self.call(now, id, call, out);
             }
@@ -281,9 +293,9 @@
                 (self.zone, self.let_go_by) = (settings.zone, settings.let_go_by);
                 self.router.adopt(*settings);
             }
-            Input::Said { id, holder, engine, heard } => {
+            Input::Said { id, holder, round, engine, heard } => {
                 self.heard(&engine, heard, now);
-                if let Some(call) = self.leases.said(id, &holder, heard, now) {
+                if let Some(call) = self.leases.said(id, &holder, round, heard, now) {
                     self.counts.releases_again += 1;
                     self.call(now, id, call, out);
                 }
@@ -334,13 +346,11 @@
     ) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(of) = open.out.take_if(|of| of.attempt == attempt) else { return };
-        self.leases.wanted(id, false);
+        // The rule's time goes on while connections do not come up: what was never sent was never out.
+        let may_have_arrived = !matches!(outcome, Outcome::NoConnection | Outcome::NotSent);
+        self.leases.attempt_ended(id, may_have_arrived, now);
         self.outcome(&of.server, outcome, now);
         let Some(open) = self.open.get_mut(&id) else { return };
-        // The rule's time goes on while connections do not come up: what was never sent was never out.
-        if !matches!(outcome, Outcome::NoConnection | Outcome::NotSent) {
-            self.leases.waits_since(id, now);
-        }
         // A read may have ended well at the moment its connection was closed or broke.
         let left = outcome == Outcome::Read || !outcome.never_ran();
         if of.reads && left && !open.streaming {
@@ -429,12 +439,14 @@
             return;
         }
         let engines: Vec<ServerId> = whom.iter().map(|(server, _)| server.clone()).collect();
-        self.leases.called(id, &call.holder, &engines);
-        self.waves.push(Reverse((now + wave_interval(self.let_go_by), id, call.holder.clone(), call.wave)));
+        let (round, wave) = (call.round, call.wave);
+        self.leases.called(id, &call.holder, round, &engines);
+        let at = now + wave_interval(self.let_go_by);
+        self.waves.push(Reverse(WaveDue { at, id, holder: call.holder.clone(), round, wave }));
         for (engine, dial) in whom {
             self.counts.releases += 1;
             let (trace, holder) = (call.trace.clone(), call.holder.clone());
-            out.push(Command::Release { id, trace, holder, engine, dial });
+            out.push(Command::Release { id, trace, holder, round, engine, dial });
         }
     }
 
@@ -507,8 +519,8 @@
         let harmless = reads || open.safe;
         let dial = self.directory.dial(&server);
         open.out = Some(Out { attempt, server: server.clone(), dial, sent: now, reads });
-        // A read leaves a state of its own and comes for none: what an earlier reader may hold is let go of meanwhile.
-        self.leases.wanted(id, !reads);
+        // A read leaves a state of its own and comes for none.
+        self.leases.attempt_begins(id, !reads);
         match dial {
             Some(dial) => out.push(Command::Send { id, attempt, server, dial, timeout, harmless }),
             None => self.ended(now, id, attempt, Outcome::NoConnection, 0, None, 0),
--- a/crates/platform/src/leases.rs
+++ b/crates/platform/src/leases.rs
@@ -3,6 +3,10 @@
 //! A reader that has read a prompt holds its state until a writer takes it or it is told to let go. The module says
 //! when; this keeps where, and says a release again until it has reached an engine: the time that the rule gives goes
 //! on while connections do not come up. A release is known by the request's id alone and every engine accepts it.
+//!
+//! An attempt that comes for a state may never arrive, and nothing tells: written is not arrived. So a release goes out and
+//! on beside an attempt. An engine keeps what an attempt waits for there, so a release that was heard meanwhile may have let go
+//! of nothing: what it was for is held to be there until the attempt has ended, and told again then.
 //! The first call goes to the holder alone and is all there is when all is well. What is not heard within [`wave_interval`]
 //! goes to one engine of every zone at once (`reach.rs`), and so does what is late already: one engine after the
 //! other took 0.12 s each, while a cut zone left two of three silent.
@@ -32,8 +36,10 @@
 struct Lease {
     trace: Box<str>,
     holders: Vec<Holder>,
-    /// An attempt is out that may come for it: what is held waits.
-    wanted: bool,
+    /// An attempt is out that comes for a state.
+    fetching: bool,
+    /// Counts the releases, so that what comes of an earlier one is not taken for a later one's.
+    round: u32,
 }
 
 #[derive(Debug)]
@@ -47,6 +53,7 @@
 /// A release on its way.
 #[derive(Debug, Default)]
 struct Telling {
+    round: u32,
     since: Time,
     waves: u32,
     /// Calls that have not ended.
@@ -59,6 +66,8 @@
 pub struct Call {
     pub trace: Box<str>,
     pub holder: ServerId,
+    /// Which release of this request it belongs to.
+    pub round: u32,
     /// How often each engine was told already.
     pub told: BTreeMap<ServerId, u32>,
     /// The first wave is 0.
@@ -77,7 +86,8 @@
         let lease = self.0.entry(id).or_insert_with(|| Lease {
             trace: trace.into(),
             holders: Vec::new(),
-            wanted: false,
+            fetching: false,
+            round: 0,
         });
         match lease.holders.iter_mut().find(|holder| holder.server == *server) {
             Some(holder) => holder.since = now,
@@ -85,19 +95,26 @@
         }
     }
 
-    /// Whether an attempt of this request is out that may come for a state. While one is, nothing is let go. Guards
-    /// against a release that nobody heard, at a reader that had run out of time, and that was never said again while
-    /// the next read was out: what the first read left was held past its time (the long day, once in 20,000 requests).
-    pub fn wanted(&mut self, id: ReqId, wanted: bool) {
+    /// An attempt of this request that comes for a state has been decided, or one that does not.
+    pub fn attempt_begins(&mut self, id: ReqId, fetches: bool) {
         if let Some(lease) = self.0.get_mut(&id) {
-            lease.wanted = wanted;
+            lease.fetching = fetches;
         }
     }
 
-    /// An attempt that may have reached an engine has ended: what is held has waited since then.
-    pub fn waits_since(&mut self, id: ReqId, now: Time) {
-        if let Some(lease) = self.0.get_mut(&id) {
-            lease.holders.iter_mut().for_each(|holder| holder.since = now);
+    /// The attempt has ended. `may_have_arrived`: what is held has waited since then, and what was told of it meanwhile may
+    /// have been kept for the attempt.
+    pub fn attempt_ended(&mut self, id: ReqId, may_have_arrived: bool, now: Time) {
+        let Some(lease) = self.0.get_mut(&id) else { return };
+        let fetched = std::mem::take(&mut lease.fetching);
+        if !may_have_arrived {
+            return;
+        }
+        for holder in &mut lease.holders {
+            holder.since = now;
+            if fetched {
+                holder.letting_go = None;
+            }
         }
     }
 
@@ -109,13 +126,15 @@
     /// The module lets go: what to tell that is not being told already. `let_go_by`: what the settings give for it.
     pub fn release(&mut self, id: ReqId, now: Time, let_go_by: Time) -> Vec<Call> {
         let Some(lease) = self.0.get_mut(&id) else { return Vec::new() };
-        let trace = &lease.trace;
+        lease.round += 1;
+        let (trace, round) = (&lease.trace, lease.round);
         let new = lease.holders.iter_mut().filter(|holder| holder.letting_go.is_none());
         new.map(|holder| {
-            holder.letting_go = Some(Telling { since: now, ..Telling::default() });
+            holder.letting_go = Some(Telling { round, since: now, ..Telling::default() });
             Call {
                 trace: trace.clone(),
                 holder: holder.server.clone(),
+                round,
                 told: BTreeMap::new(),
                 wave: 0,
                 wide: now >= holder.since + let_go_by,
@@ -125,8 +144,8 @@
     }
 
     /// These engines are being told.
-    pub fn called(&mut self, id: ReqId, holder: &ServerId, engines: &[ServerId]) {
-        let Some(telling) = self.telling(id, holder) else { return };
+    pub fn called(&mut self, id: ReqId, holder: &ServerId, round: u32, engines: &[ServerId]) {
+        let Some(telling) = self.telling(id, holder, round) else { return };
         telling.waves += 1;
         for engine in engines {
             telling.out += 1;
@@ -134,46 +153,52 @@
         }
     }
 
-    fn telling(&mut self, id: ReqId, holder: &ServerId) -> Option<&mut Telling> {
+    fn telling(&mut self, id: ReqId, holder: &ServerId, round: u32) -> Option<&mut Telling> {
         let lease = self.0.get_mut(&id)?;
-        lease.holders.iter_mut().find(|of| of.server == *holder)?.letting_go.as_mut()
+        let holder = lease.holders.iter_mut().find(|of| of.server == *holder)?;
+        holder.letting_go.as_mut().filter(|telling| telling.round == round)
     }
 
     /// A release was said; `heard`: it has reached an engine whole. Gives the next wave, if one is due.
-    pub fn said(&mut self, id: ReqId, holder: &ServerId, heard: bool, now: Time) -> Option<Call> {
-        let telling = self.telling(id, holder)?;
+    pub fn said(&mut self, id: ReqId, holder: &ServerId, round: u32, heard: bool, now: Time) -> Option<Call> {
+        let telling = self.telling(id, holder, round)?;
         telling.out = telling.out.saturating_sub(1);
+        let over = telling.out == 0;
         if heard {
-            self.drop_holder(id, holder);
+            self.heard(id, holder);
             return None;
         }
-        let over = telling.out == 0;
-        if over { self.next(id, holder, now) } else { None }
+        if over { self.next(id, holder, round, now) } else { None }
+    }
+
+    /// Done, unless an attempt is out for which the engine may have kept it.
+    fn heard(&mut self, id: ReqId, holder: &ServerId) {
+        let Some(lease) = self.0.get_mut(&id) else { return };
+        if !lease.fetching {
+            self.drop_holder(id, holder);
+            return;
+        }
+        if let Some(holder) = lease.holders.iter_mut().find(|of| of.server == *holder) {
+            holder.letting_go = None;
+        }
     }
 
     /// [`wave_interval`] after a wave went out: the next one, if it was not heard.
-    pub fn due(&mut self, id: ReqId, holder: &ServerId, wave: u32, now: Time) -> Option<Call> {
-        let telling = self.telling(id, holder)?;
+    pub fn due(&mut self, id: ReqId, holder: &ServerId, round: u32, wave: u32, now: Time) -> Option<Call> {
+        let telling = self.telling(id, holder, round)?;
         let stands = telling.waves == wave + 1 && telling.waves < QUICK;
-        if stands { self.next(id, holder, now) } else { None }
+        if stands { self.next(id, holder, round, now) } else { None }
     }
 
-    fn next(&mut self, id: ReqId, holder: &ServerId, now: Time) -> Option<Call> {
-        let lease = self.0.get_mut(&id)?;
-        let (trace, wanted) = (lease.trace.clone(), lease.wanted);
-        let of = lease.holders.iter_mut().find(|of| of.server == *holder)?;
-        let telling = of.letting_go.as_ref()?;
+    fn next(&mut self, id: ReqId, holder: &ServerId, round: u32, now: Time) -> Option<Call> {
+        let telling = self.telling(id, holder, round)?;
         if telling.waves >= WAVES || now >= telling.since + LIFE {
             self.drop_holder(id, holder);
             return None;
         }
-        if wanted {
-            // Its next release tells it again.
-            of.letting_go = None;
-            return None;
-        }
         let (told, wave) = (telling.told.clone(), telling.waves);
-        Some(Call { trace, holder: holder.clone(), told, wave, wide: true })
+        let trace = self.0.get(&id)?.trace.clone();
+        Some(Call { trace, holder: holder.clone(), round, told, wave, wide: true })
     }
 
     fn drop_holder(&mut self, id: ReqId, holder: &ServerId) {
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -1,6 +1,6 @@
 //! Discovery's lists: lines of JSON to entries of the module, and how each server is reached.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use elderstage::settings::Names;
@@ -74,6 +74,8 @@
 pub struct Directory {
     /// Where each is reached, what the list says of it, and its zone.
     dials: HashMap<ServerId, (SocketAddr, Listed, u32)>,
+    /// Those that run, by zone: kept with the changes, since a pass over thousands for each call would delay all else.
+    running: BTreeMap<u32, BTreeMap<ServerId, SocketAddr>>,
 }
 
 impl Directory {
@@ -127,17 +129,11 @@
     pub fn take(&mut self, list: List, restored: bool) -> (ListMode, Vec<Entry>) {
         if list.whole {
             self.dials.clear();
+            self.running.clear();
         }
         let mut entries = Vec::with_capacity(list.hosts.len());
         for host in list.hosts {
-            match host.dial {
-                Some(dial) if host.entry.listed != Listed::Gone => {
-                    let known = (dial, host.entry.listed, host.entry.zone);
-                    self.dials.insert(host.entry.server.clone(), known);
-                }
-                // Guards against a long day's growth: a server that has left is forgotten.
-                _ => drop(self.dials.remove(&host.entry.server)),
-            }
+            self.put(&host);
             entries.push(host.entry);
         }
         let mode = match (restored, list.whole) {
@@ -157,13 +153,27 @@
         self.dials.get(server).is_some_and(|(_, listed, _)| *listed == Listed::Running)
     }
 
-    /// All that run, in the order of their names, with address and zone.
-    pub fn running(&self) -> Vec<(ServerId, SocketAddr, u32)> {
-        let running = self.dials.iter().filter(|(_, (_, listed, _))| *listed == Listed::Running);
-        let mut running: Vec<_> =
-            running.map(|(server, (dial, _, zone))| (server.clone(), *dial, *zone)).collect();
-        running.sort_unstable();
-        running
+    fn put(&mut self, host: &Host) {
+        let entry = &host.entry;
+        if let Some((_, _, zone)) = self.dials.remove(&entry.server)
+            && let Some(of_zone) = self.running.get_mut(&zone)
+        {
+            of_zone.remove(&entry.server);
+            if of_zone.is_empty() {
+                self.running.remove(&zone);
+            }
+        }
+        // Guards against a long day's growth: a server that has left is forgotten.
+        let Some(dial) = host.dial.filter(|_| entry.listed != Listed::Gone) else { return };
+        self.dials.insert(entry.server.clone(), (dial, entry.listed, entry.zone));
+        if entry.listed == Listed::Running {
+            self.running.entry(entry.zone).or_default().insert(entry.server.clone(), dial);
+        }
+    }
+
+    /// Those that run, by zone and in the order of their names. No zone is empty.
+    pub fn running(&self) -> &BTreeMap<u32, BTreeMap<ServerId, SocketAddr>> {
+        &self.running
     }
 
     pub fn len(&self) -> usize {
--- a/crates/platform/src/reach.rs
+++ b/crates/platform/src/reach.rs
@@ -68,19 +68,19 @@
         wave: u32,
         salt: usize,
     ) -> Vec<(ServerId, SocketAddr)> {
-        let mut zones: BTreeMap<u32, Vec<(ServerId, SocketAddr)>> = BTreeMap::new();
-        for (server, dial, zone) in directory.running() {
-            zones.entry(zone).or_default().push((server, dial));
-        }
-        let best = |mut of: Vec<(ServerId, SocketAddr)>| {
+        let best = |of: &BTreeMap<ServerId, SocketAddr>| {
             // Guards against 350 nodes that all tell the first engine of a list.
             let turn = salt % of.len();
-            of.rotate_left(turn);
-            of.into_iter()
-                .min_by_key(|(server, _)| (told.get(server).copied().unwrap_or(0), self.rank(server)))
+            let ranked = of.iter().enumerate().map(|(n, (server, dial))| {
+                let place = (n + of.len() - turn) % of.len();
+                (told.get(server).copied().unwrap_or(0), self.rank(server), place, server, dial)
+            });
+            ranked.min().map(|(_, _, _, server, dial)| (server.clone(), *dial))
         };
-        let mine = zones.remove(&own).and_then(best);
-        let mut others: Vec<_> = zones.into_values().filter_map(best).collect();
+        let running = directory.running();
+        let mine = running.get(&own).and_then(best);
+        let other_zones = running.iter().filter(|(zone, _)| **zone != own);
+        let mut others: Vec<_> = other_zones.filter_map(|(_, of)| best(of)).collect();
         let turn = (wave as usize).saturating_mul(ZONES - 1) % others.len().max(1);
         others.rotate_left(turn);
         mine.into_iter().chain(others).take(ZONES).collect()
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -268,7 +268,8 @@
     let other =
         list(r#"{"seq":6,"whole":true,"hosts":[{"host":"c","dial":"127.0.0.1:3","health":"SERVING"}]}"#);
     directory.take(other.unwrap(), false);
-    assert_eq!((directory.len(), directory.running().len()), (1, 1));
+    let running = directory.running().values().map(|of_zone| of_zone.len()).sum::<usize>();
+    assert_eq!((directory.len(), running), (1, 1));
     for bad in [
         "{",
         "[]x",
--- a/crates/platform/tests/hub.rs
+++ b/crates/platform/tests/hub.rs
@@ -1,5 +1,6 @@
 //! The hub with the module in it, driven by hand. Times are microseconds.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use elderstage::{Arrival, Entry, Listed, Outcome, ReqId, ServerId, Settings, Time, example_settings};
@@ -12,6 +13,8 @@
 struct World {
     hub: Hub,
     now: Time,
+    /// The release that each holder was last told of.
+    rounds: HashMap<(ReqId, ServerId), u32>,
 }
 
 fn addr(port: u16) -> SocketAddr {
@@ -44,7 +47,7 @@
 
 impl World {
     fn with(settings: Settings) -> World {
-        let mut world = World { hub: Hub::new(settings, 7), now: 1_000_000 * MS };
+        let mut world = World { hub: Hub::new(settings, 7), now: 1_000_000 * MS, rounds: HashMap::new() };
         let hosts = vec![
             host("reader", 0, 1, Listed::Running),
             host("spare", 0, 2, Listed::Running),
@@ -59,6 +62,11 @@
         let mut out = Vec::new();
         self.hub.handle(self.now, input, &mut out);
         out.retain(|command| !matches!(command, Command::Probe { .. }));
+        for command in &out {
+            if let Command::Release { id, holder, round, .. } = command {
+                self.rounds.insert((*id, holder.clone()), *round);
+            }
+        }
         out
     }
 
@@ -72,7 +80,9 @@
 
     fn said(&mut self, id: u32, holder: &str, engine: &str, heard: bool) -> Vec<Command> {
         let (holder, engine) = (ServerId(holder.into()), ServerId(engine.into()));
-        self.tell(Input::Said { id: ReqId(id), holder, engine, heard })
+        let id = ReqId(id);
+        let round = self.rounds.get(&(id, holder.clone())).copied().unwrap_or_default();
+        self.tell(Input::Said { id, holder, round, engine, heard })
     }
 
     /// Lets time pass, with the timers that are due.
--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -52,6 +52,9 @@
     List { seq: 1, whole: true, hosts: (0..ENGINES).map(host).collect() }
 }
 
+/// When a call ends, whose state it was to let go of, in which release, whom it was told, and whether that was heard.
+type CallEnd = (Time, ServerId, u32, ServerId, bool);
+
 /// What came of one release.
 struct Done {
     heard_after: Option<Time>,
@@ -78,10 +81,10 @@
         &mut out,
     );
     let (begun, mut calls, mut heard_after) = (now, Vec::new(), None);
-    let mut ends: BinaryHeap<Reverse<(Time, ServerId, ServerId, bool)>> = BinaryHeap::new();
+    let mut ends: BinaryHeap<Reverse<CallEnd>> = BinaryHeap::new();
     loop {
         for command in out.drain(..) {
-            let Command::Release { holder, engine, .. } = command else { continue };
+            let Command::Release { holder, round, engine, .. } = command else { continue };
             let number: u32 = engine.0[2..].parse().unwrap();
             let (took, heard) = match way(zone, number) {
                 Way::Open => (HEARD, true),
@@ -89,17 +92,17 @@
                 Way::Refused => (REFUSED, false),
             };
             calls.push(engine.0.to_string());
-            ends.push(Reverse((now + took, holder, engine, heard)));
+            ends.push(Reverse((now + took, holder, round, engine, heard)));
         }
         let end = ends.peek().map(|Reverse((at, ..))| *at);
         let Some(at) = hub.next_timer().into_iter().chain(end).min() else { break };
         now = now.max(at);
         if end == Some(at) {
-            let Some(Reverse((_, holder, engine, heard))) = ends.pop() else { break };
+            let Some(Reverse((_, holder, round, engine, heard))) = ends.pop() else { break };
             if heard {
                 heard_after = heard_after.or(Some(now - begun));
             }
-            hub.handle(now, Input::Said { id, holder, engine, heard }, &mut out);
+            hub.handle(now, Input::Said { id, holder, round, engine, heard }, &mut out);
         } else {
             hub.wake(now, &mut out);
         }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -54,8 +54,12 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.out = None;
         let let_go = std::mem::take(&mut request.let_go);
-        // What never came up was never out, and its state waits on. Guards against try after try.
-        if let Some((_, since)) = request.state.as_mut().filter(|_| outcome != Outcome::NoConnection) {
+        // The state's time starts anew at what an attempt came to only where it is known to have arrived, or where the
+        // state was let go of beside it: one that never came up, or was written to a silent link, was never out.
+        // Guards against try after try.
+        let arrived = matches!(outcome, Outcome::Full | Outcome::Error);
+        let anew = arrived || (let_go && outcome != Outcome::NoConnection);
+        if let Some((_, since)) = request.state.as_mut().filter(|_| anew) {
             *since = now;
         }
         // A state that a writer misses may be out of reach, behind a cut: let go of it before reading anew.
@@ -131,7 +135,7 @@
         }
         self.move_streams(now, out);
         let keep = (LET_GO * self.set.let_go_by as f64) as Time;
-        //LG self.let_go_beside_attempts(now, keep, out);
+        self.let_go_beside_attempts(now, keep, out);
         let stuck: Vec<ReqId> = self.held().collect();
         for id in stuck {
             let Some(request) = self.requests.get_mut(&id) else { return };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1245,3 +1245,25 @@
     }
     assert!(far <= 4, "{far} of 480 states, where the writers of their cell had room");
 }
+
+/// An attempt that was written may never have arrived: the rule's clock goes on until the stream begins.
+#[test]
+fn a_state_is_let_go_of_beside_an_attempt_that_may_not_have_arrived() {
+    let mut bench = Bench::new(&["r1", "w1", "w2"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    assert!(sent_to(&bench.end(1, 0, &reader, Outcome::Read, 0)).is_some());
+    let done = bench.wait(400 * MS);
+    assert_eq!(done, [Action::Release { id: ReqId(1) }], "said once, and the attempt goes on");
+}
+
+/// An attempt that ran out of time may never have arrived, and then it did not stop the clock: it goes on from the read.
+#[test]
+fn the_time_of_a_state_does_not_begin_anew_with_an_attempt_that_ran_out_of_time() {
+    let mut bench = Bench::new(&["r1", "w1", "w2"]);
+    let reader = sent_to(&bench.arrive(1, 1_000.0)).unwrap();
+    let first = sent_to(&bench.end(1, 0, &reader, Outcome::Read, 0)).unwrap();
+    bench.now += 150 * MS;
+    assert!(sent_to(&bench.end(1, 1, &first, Outcome::TimedOut, 0)).is_some());
+    let done = bench.wait(60 * MS);
+    assert_eq!(done, [Action::Release { id: ReqId(1) }]);
+}
