--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -64,11 +64,10 @@
         }
         // A state that a writer misses may be out of reach, behind a cut: let go of it before reading anew.
         let missed = outcome == Outcome::Full && note == 1;
-        // Nothing kept what it was told to let go of: the attempt never came up.
-        let let_go = let_go && outcome == Outcome::NoConnection;
-        if missed
-            || let_go
-            || request.state.as_ref().is_some_and(|(_, since)| now > since + self.set.let_go_by)
+        // Let go of beside an attempt that never came up, or that ran out of time: held to be gone. Where the attempt
+        // had arrived it is let go of now; the next writer would most often find nothing to fetch.
+        let gone = let_go && matches!(outcome, Outcome::NoConnection | Outcome::TimedOut);
+        if missed || gone || request.state.as_ref().is_some_and(|(_, since)| now > since + self.set.let_go_by)
         {
             request.state = None;
             out.push(Action::Release { id });
