The node's log tells reasons: attempts sent, refusals, closes, and how long events waited

Need: the evidence of the incident held two state lines a node; neither said that events waited for the event loop, nor why a request was refused or a connection closed. Change: debug lines 'sent', 'refused' and 'closed' with reasons, 'answered' with attempts and the last outcome; the state line has the longest wait in the queue, servers looked at and connections made; a warning where an event waited 0.2 s or more, once a second at most. Besides: a client that has gone closes its response channel before the event loop is told, so nothing is begun for it while that event waits; the pool looks at one engine's idle connections, not at all.

--- a/crates/cli/tests/node/bed.rs
+++ b/crates/cli/tests/node/bed.rs
@@ -92,13 +92,18 @@
 impl Bed {
     /// A node that the system allows no more than so many descriptors; what it writes to its log is kept.
     pub fn limited_node(&self, descriptors: u64, change: impl Fn(&mut Value)) -> Node {
+        self.logged_node("warn", descriptors, change)
+    }
+
+    /// The same, with this level of its log.
+    pub fn logged_node(&self, level: &str, descriptors: u64, change: impl Fn(&mut Value)) -> Node {
         let addr = free();
         let path = self.holds.folder().join("config");
         let mut config = self.platform.config(addr, self.platform.discovery.addr, true);
         patient(&mut config);
         change(&mut config);
         std::fs::write(&path, config.to_string()).unwrap();
-        let run = format!("ulimit -n {descriptors} && exec \"$0\" --log-level warn node");
+        let run = format!("ulimit -n {descriptors} && exec \"$0\" --log-level {level} node");
         let log = std::fs::File::create(path.with_extension("log")).unwrap();
         let mut command = Command::new("sh");
         command.args(["-c", &run, PROGRAM]).env("PROXY_CONFIG", &path).stdin(Stdio::null()).stderr(log);
--- a/crates/cli/tests/node/main.rs
+++ b/crates/cli/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod held_state;
 mod input;
+mod log;
 mod outcomes;
 mod peer;
 mod relay;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -44,9 +44,29 @@
 /// Microseconds in a second.
 const SECOND: f64 = 1e6;
 
+/// Why a client's connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Close {
+    /// The client has ended or reset it.
+    Client,
+    /// No request came in time.
+    Idle,
+    /// Another client needs its place, or the node ends.
+    Evicted,
+    /// What came can't be read, or not in time: it was told so.
+    BadRequest,
+    /// The client asked for it, or the answer has no end that could be told otherwise.
+    Answered,
+    /// The stream broke: the client is told by the end of its connection.
+    StreamBroke,
+    /// The node ends.
+    Shutdown,
+}
+
 /// Serves a connection to its end, and closes it so that nothing that was written is destroyed by the close.
 pub fn serve(shared: &Arc<Shared>, mut conn: Conn, permit: &ConnectionPermit) {
-    requests(shared, &mut conn, permit);
+    let reason = requests(shared, &mut conn, permit);
+    tracing::debug!(target: "closed", ?reason, unread = conn.pending().len());
     // Others wait for the permit of an evicted one: it stays only for as long as its last answer may be on its way.
     // It may have been evicted in the same instant in which its last request came.
     let evicted = permit.connection.is_evicted() && !shared.closing();
@@ -54,14 +74,14 @@
     conn.finish(if evicted { answered } else { LINGER }, LINGER_BYTES);
 }
 
-fn requests(shared: &Arc<Shared>, conn: &mut Conn, permit: &ConnectionPermit) {
+fn requests(shared: &Arc<Shared>, conn: &mut Conn, permit: &ConnectionPermit) -> Close {
     conn.limits = LIMITS;
     conn.set_write_timeout(Some(WRITE));
     let accepted = Instant::now();
     let mut first = true;
     loop {
-        if !begins(shared, conn, permit, first, accepted) {
-            return;
+        if let Err(reason) = begins(shared, conn, permit, first, accepted) {
+            return reason;
         }
         permit.busy();
         let until = if first { accepted + READ } else { Instant::now() + READ };
@@ -71,7 +91,7 @@
             Ok(head) => head,
             Err(NetError::Http(error)) => return refuse(conn, error.status(), &error.to_string()),
             Err(NetError::TimedOut) => return refuse(conn, 408, "no whole request in time"),
-            Err(_) => return,
+            Err(_) => return Close::Client,
         };
         match ask::wanted(&head) {
             Ok(Wanted::Ready) => {
@@ -79,12 +99,12 @@
                 let read = body(shared, conn, &head, until).is_ok();
                 let keep = head.keep_alive && stays(shared, conn);
                 if !(read && reply(conn, status, None, "", keep) && keep) {
-                    return;
+                    return Close::Answered;
                 }
             }
             Ok(Wanted::Chat) => {
-                if !chat(shared, conn, head, until) {
-                    return;
+                if let Err(reason) = chat(shared, conn, head, until) {
+                    return reason;
                 }
             }
             Err(error) => {
@@ -94,14 +114,14 @@
                     return refuse(conn, error.status(), &error.to_string());
                 }
                 if !reply(conn, error.status(), None, &error.to_string(), true) {
-                    return;
+                    return Close::Client;
                 }
             }
         }
         conn.shrink();
         permit.idle();
         if shared.closing() && !conn.has_pending() {
-            return;
+            return Close::Shutdown;
         }
     }
 }
@@ -112,23 +132,23 @@
     !shared.closing() || conn.has_pending()
 }
 
-/// Waits for the first byte of a request. `false`: the connection is to be closed.
+/// Waits for the first byte of a request. An error: the connection is to be closed.
 fn begins(
     shared: &Shared,
     conn: &mut Conn,
     permit: &ConnectionPermit,
     first: bool,
     accepted: Instant,
-) -> bool {
+) -> Result<(), Close> {
     let idle = Instant::now();
     loop {
         if conn.has_pending() {
-            return true;
+            return Ok(());
         }
         match conn.fill_now() {
-            Ok(true) => return true,
+            Ok(true) => return Ok(()),
             Ok(false) => {}
-            Err(_) => return false,
+            Err(_) => return Err(Close::Client),
         }
         let now = Instant::now();
         let mut until = if first { accepted + GRACE } else { idle + IDLE };
@@ -136,16 +156,18 @@
             until = if first && shared.closing() { until.min(accepted + ARRIVES) } else { now };
         }
         if now >= until {
-            return false;
+            return Err(if permit.connection.is_evicted() { Close::Evicted } else { Close::Idle });
         }
         conn.pause(Some(until));
     }
 }
 
 /// Answers what can't be taken; its connection is to be closed.
-fn refuse(conn: &mut Conn, status: u16, why: &str) {
+fn refuse(conn: &mut Conn, status: u16, why: &str) -> Close {
+    tracing::debug!(target: "refused", status, why);
     // Whether the client is still there to read it is not ours to know.
     let _ = reply(conn, status, None, why, false);
+    Close::BadRequest
 }
 
 /// A short answer. `false`: the client has gone.
@@ -203,14 +225,11 @@
     }
 }
 
-/// One request and its answer. `false`: the connection is to be closed.
-fn chat(shared: &Arc<Shared>, conn: &mut Conn, head: Request, until: Instant) -> bool {
+/// One request and its answer. An error: the connection is to be closed.
+fn chat(shared: &Arc<Shared>, conn: &mut Conn, head: Request, until: Instant) -> Result<(), Close> {
     let Whole { bytes: body, memory, came } = match body(shared, conn, &head, until) {
         Ok(read) => read,
-        Err((status, why)) => {
-            refuse(conn, status, &why);
-            return false;
-        }
+        Err((status, why)) => return Err(refuse(conn, status, &why)),
     };
     let keep = head.keep_alive;
     let longest_wait = shared.longest_wait.load(Ordering::SeqCst);
@@ -220,7 +239,8 @@
         other => {
             let error = other.err().unwrap_or(ask::Refusal::Body);
             let keep = keep && stays(shared, conn);
-            return reply(conn, error.status(), None, &error.to_string(), keep) && keep;
+            let kept = reply(conn, error.status(), None, &error.to_string(), keep) && keep;
+            return if kept { Ok(()) } else { Err(Close::BadRequest) };
         }
     };
     let fields = forward::fields(&head);
@@ -229,9 +249,9 @@
     let channel = ResponseChannel::new(parts, conn.waker());
     let id = ReqId(shared.next_id.fetch_add(1, Ordering::Relaxed));
     shared.submit(Event::Open { id, ask, channel: channel.clone(), came });
-    let kept = answer(shared, conn, &channel, id, keep);
+    let answered = answer(shared, conn, &channel, id, keep);
     channel.close();
-    kept
+    answered
 }
 
 /// Whether a client that waits for its answer is still there. Its end stands behind whatever it has sent meanwhile, so
@@ -274,7 +294,14 @@
     }
 }
 
-fn answer(shared: &Arc<Shared>, conn: &mut Conn, channel: &ResponseChannel, id: ReqId, keep: bool) -> bool {
+fn answer(
+    shared: &Arc<Shared>,
+    conn: &mut Conn,
+    channel: &ResponseChannel,
+    id: ReqId,
+    keep: bool,
+) -> Result<(), Close> {
+    let stays_open = |kept: bool| if kept { Ok(()) } else { Err(Close::Answered) };
     let (mut begun, mut out, mut ahead) = (false, Vec::new(), Ahead::default());
     loop {
         let mut whole = false;
@@ -295,7 +322,7 @@
                 ResponseEvent::Cut => {
                     // Its connection ends without the last chunk.
                     let _ = conn.write(&out);
-                    return false;
+                    return Err(Close::StreamBroke);
                 }
                 ResponseEvent::Last(last) => {
                     let keep = keep && stays(shared, conn) && !ahead.dropped;
@@ -308,17 +335,19 @@
                         Last::Failed => reply(conn, 502, None, "failed; it may have run", keep),
                         Last::Open => reply(conn, 409, None, &ask::Refusal::Open.to_string(), keep),
                     };
-                    return kept && keep;
+                    return stays_open(kept && keep);
                 }
             }
         }
         if (!out.is_empty() && conn.write(&out).is_err()) || (!whole && ahead.look(shared, conn)) {
+            // Closed first: nothing is begun for it from here on, however long the event waits for the event loop.
+            channel.close();
             shared.submit(Event::Hub(Input::Gone { id }));
             hold_at!("client-gone-{}", channel.parts.trace);
-            return false;
+            return Err(Close::Client);
         }
         if whole {
-            return keep && stays(shared, conn) && !ahead.dropped;
+            return stays_open(keep && stays(shared, conn) && !ahead.dropped);
         }
         conn.pause(ahead.more.then(|| Instant::now() + FLOOD_PAUSE));
     }
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -39,6 +39,35 @@
     Compare,
 }
 
+/// An event, and when it was submitted: the time that it waits is the node's delay for all it serves.
+pub struct Submitted {
+    pub at: Instant,
+    pub event: Event,
+}
+
+/// A wait in the queue from which on the log warns: the rules' limits on held state and on streams that end are near then.
+const LATE: Duration = Duration::from_millis(200);
+/// Least time between two such warnings.
+const LATE_AGAIN: Duration = Duration::from_secs(1);
+
+/// How long events have waited for the event loop.
+#[derive(Debug, Default)]
+struct QueueWait {
+    /// The longest since the last state line.
+    longest: Duration,
+    warned: Option<Instant>,
+}
+
+impl QueueWait {
+    fn note(&mut self, waited: Duration, waiting: usize) {
+        self.longest = self.longest.max(waited);
+        if waited >= LATE && self.warned.is_none_or(|at| at.elapsed() >= LATE_AGAIN) {
+            self.warned = Some(Instant::now());
+            tracing::warn!(target: "node", waited_ms = waited.as_millis() as u64, waiting, "event loop is late");
+        }
+    }
+}
+
 /// Drives the hub; runs on a thread of its own.
 pub struct EventLoop {
     hub: Hub,
@@ -46,6 +75,7 @@
     channels: HashMap<ReqId, Arc<ResponseChannel>>,
     commands: Vec<Command>,
     comparison: Comparison,
+    queue_wait: QueueWait,
 }
 
 impl EventLoop {
@@ -56,6 +86,7 @@
             channels: HashMap::new(),
             commands: Vec::new(),
             comparison: Comparison::default(),
+            queue_wait: QueueWait::default(),
         }
     }
 
@@ -75,6 +106,9 @@
             Command::Send { id, attempt, server, dial, timeout, harmless } => {
                 let Some(channel) = self.channels.get(&id).cloned() else { return };
                 let timeout = Duration::from_micros(timeout);
+                tracing::debug!(
+                    target: "sent", trace = %channel.parts.trace, attempt, server = %server.0, ?timeout, harmless,
+                );
                 engine::attempt(
                     &self.shared,
                     Attempt { id, attempt, server, dial, timeout, harmless, channel },
@@ -95,9 +129,11 @@
                     channel.cut();
                 }
             }
-            Command::Answer { id, last } => {
+            Command::Answer { id, last, attempts, last_outcome } => {
                 if let Some(channel) = self.channels.get(&id) {
-                    tracing::debug!(target: "answered", trace = %channel.parts.trace, ?last);
+                    tracing::debug!(
+                        target: "answered", trace = %channel.parts.trace, ?last, attempts, ?last_outcome,
+                    );
                     channel.send(ResponseEvent::Last(last));
                 }
             }
@@ -120,23 +156,26 @@
     }
 
     /// What the module holds beside what is open on sockets.
-    fn trace(&self) {
+    fn trace(&mut self) {
         let (open, leases) = self.hub.held();
         let (links, idle) = self.shared.pool.counts();
         let out: usize = self.hub.in_flight().values().sum();
+        let queue_wait = std::mem::take(&mut self.queue_wait.longest);
         tracing::info!(
             target: "node", open, attempts = out, seats = self.channels.len(), leases, servers = self.hub.servers(),
-            engine_connections = links, idle, client_connections = self.shared.client_connections.len(),
+            engine_connections = links, idle, opened = self.shared.pool.opened(), examined = self.hub.examined(),
+            longest_queue_wait_ms = queue_wait.as_millis() as u64, client_connections = self.shared.client_connections.len(),
             body_bytes = self.shared.bodies.reserved(), counts = ?self.hub.counts(), "state",
         );
     }
 }
 
 impl Machine for EventLoop {
-    type Event = Event;
+    type Event = Submitted;
 
-    fn handle(&mut self, now: Micros, event: Event) -> bool {
-        match event {
+    fn handle(&mut self, now: Micros, submitted: Submitted) -> bool {
+        self.queue_wait.note(submitted.at.elapsed(), self.shared.inbox.waiting());
+        match submitted.event {
             Event::Open { id, mut ask, channel, came } => {
                 let waited = u64::try_from(came.elapsed().as_micros()).unwrap_or(u64::MAX);
                 ask.arrival.time_left = ask.arrival.time_left.saturating_sub(waited);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,7 +33,7 @@
 
 use connections::{Admission, ClientConnections};
 use diagnosis::InFlightAttempts;
-use event_loop::{Event, EventLoop};
+use event_loop::{Event, EventLoop, Submitted};
 use memory::MemoryBudget;
 use pool::Pool;
 
@@ -85,7 +85,7 @@
 pub(crate) struct Shared {
     names: Names,
     connect: Duration,
-    inbox: Inbox<Event>,
+    inbox: Inbox<Submitted>,
     pool: Arc<Pool>,
     client_connections: Arc<ClientConnections>,
     bodies: Arc<MemoryBudget>,
@@ -107,7 +107,7 @@
 impl Shared {
     fn submit(&self, event: Event) {
         // The owner lives as long as the process.
-        self.inbox.send(event);
+        self.inbox.send(Submitted { at: Instant::now(), event });
     }
 
     fn closing(&self) -> bool {
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -29,6 +29,8 @@
 pub struct Pool {
     most: usize,
     open: AtomicUsize,
+    /// Connections made since the start.
+    opened: AtomicUsize,
     idle_for: Duration,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     kept: Mutex<Kept>,
@@ -95,6 +97,7 @@
         Arc::new(Pool {
             most,
             open: AtomicUsize::new(0),
+            opened: AtomicUsize::new(0),
             idle_for,
             idle: Mutex::default(),
             kept: Mutex::default(),
@@ -114,6 +117,11 @@
         (self.open.load(Ordering::SeqCst), self.idle().values().map(Vec::len).sum())
     }
 
+    /// Connections made since the start, or begun to be made.
+    pub fn opened(&self) -> usize {
+        self.opened.load(Ordering::Relaxed)
+    }
+
     /// The connection used last that is still good, or a new one made within `time`. `harmless`: what goes on it may
     /// be repeated, whatever comes of it.
     pub fn take(self: &Arc<Pool>, at: SocketAddr, time: Duration, harmless: bool) -> Result<Link, NetError> {
@@ -124,7 +132,9 @@
                     let rested = of.iter().rposition(|idle| idle.since.elapsed() >= REST)?;
                     Some(of.remove(rested))
                 });
-                all.retain(|_, of| !of.is_empty());
+                if all.get(&at).is_some_and(Vec::is_empty) {
+                    all.remove(&at);
+                }
                 of
             };
             let Some(idle) = idle else { break };
@@ -144,6 +154,7 @@
         if self.open.fetch_update(Ordering::SeqCst, Ordering::SeqCst, fits).is_err() {
             return Err(NetError::TimedOut);
         }
+        self.opened.fetch_add(1, Ordering::Relaxed);
         match open(Place::Tcp(at), time) {
             Ok(conn) => Ok(Link { of: self.clone(), at, conn: Some(conn), idle: None }),
             Err(error) => {
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -80,6 +80,9 @@
     Answer {
         id: ReqId,
         last: Last,
+        /// Attempts that were decided, and what came of the last: why the answer is none of an engine's.
+        attempts: u32,
+        last_outcome: Option<Outcome>,
     },
     Release {
         id: ReqId,
@@ -117,6 +120,7 @@
     /// May run any number of times.
     safe: bool,
     attempts: u32,
+    last_outcome: Option<Outcome>,
     out: Option<Out>,
     streaming: bool,
     /// Answered, or its client has gone.
@@ -218,6 +222,11 @@
         (self.open.len(), self.leases.len())
     }
 
+    /// Servers that the module's passes over the list have looked at since the start.
+    pub fn examined(&self) -> u64 {
+        self.router.examined()
+    }
+
     /// Releases that have not been heard yet.
     pub fn letting_go(&self) -> usize {
         self.leases.letting_go()
@@ -306,7 +315,7 @@
 
     fn arrived(&mut self, now: Time, id: ReqId, ask: Ask, out: &mut Vec<Command>) {
         if self.ids.contains_key(&ask.trace) {
-            out.push(Command::Answer { id, last: Last::Open });
+            out.push(Command::Answer { id, last: Last::Open, attempts: 0, last_outcome: None });
             out.push(Command::Forget { id });
             return;
         }
@@ -316,7 +325,15 @@
         }
         self.ids.insert(ask.trace.clone(), id);
         let safe = self.safe.get(ask.arrival.class).copied().unwrap_or(false);
-        let open = Open { trace: ask.trace, safe, attempts: 0, out: None, streaming: false, over: false };
+        let open = Open {
+            trace: ask.trace,
+            safe,
+            attempts: 0,
+            last_outcome: None,
+            out: None,
+            streaming: false,
+            over: false,
+        };
         self.open.insert(id, open);
         self.events.push_back(Event::Arrived(Arrival { id, ..ask.arrival }));
     }
@@ -348,6 +365,7 @@
         let Some(of) = open.out.take_if(|of| of.attempt == attempt) else { return };
         // The rule's time goes on while connections do not come up: what was never sent was never out.
         let may_have_arrived = !matches!(outcome, Outcome::NoConnection | Outcome::NotSent);
+        open.last_outcome = Some(outcome);
         self.leases.attempt_ended(id, may_have_arrived, now);
         self.outcome(&of.server, outcome, now);
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -539,7 +557,8 @@
                 let refused = matches!(last, Last::Refused { .. });
                 counting.end(now, id, if refused { End::Refused } else { End::Failed });
             }
-            out.push(Command::Answer { id, last });
+            let (attempts, last_outcome) = (open.attempts, open.last_outcome);
+            out.push(Command::Answer { id, last, attempts, last_outcome });
         }
         self.forget(id, out);
     }
