Engines' starts are told from wall time by two clocks, once, and never as warm by a step

After a step back of an hour an engine that had just started was warm at once; after a step forward it was cold for the step and its cold time. Change: platform's engine_start.rs places a start when it is first told, by both clocks, the younger age; the node reads the wall clock with each list.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use elderstage_net::owner::Clock;
 use elderstage_net::{NetError, Place, open, sleep};
@@ -37,6 +37,13 @@
     }
 }
 
+/// What the wall clock is ahead of the node's clock, in microseconds: nothing, until it is stepped.
+fn wall_ahead(clock: Clock) -> i64 {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let wall = i64::try_from(wall.as_micros()).unwrap_or(i64::MAX);
+    wall.saturating_sub_unsigned(clock.now())
+}
+
 fn other(error: impl std::fmt::Display) -> NetError {
     NetError::Io(std::io::Error::other(error.to_string()))
 }
@@ -77,6 +84,7 @@
                 for list in watch.take(clock.now(), &held, &shared.names).map_err(other)? {
                     let (seq, whole, hosts) = (list.seq, list.whole, list.hosts.len());
                     tracing::debug!(target: "discovery", seq, whole, hosts);
+                    shared.submit(Event::Hub(Input::WallClock { ahead: wall_ahead(clock) }));
                     shared.submit(Event::Hub(Input::Listed { list, restored: false }));
                     shared.listed.store(true, Ordering::SeqCst);
                     hold_at!("listed-{seq}");
--- a/crates/platform/src/hub.rs
+++ b/crates/platform/src/hub.rs
@@ -12,8 +12,9 @@
 
 use crate::ask::Ask;
 use crate::counting::{Counting, End};
+use crate::engine_start::EngineStarts;
 use crate::leases::{Call, Leases, wave_interval};
-use crate::list::{Directory, List};
+use crate::list::{Directory, Host, List};
 use crate::reach::Reach;
 use crate::report;
 
@@ -30,6 +31,8 @@
     Ended { id: ReqId, attempt: u32, outcome: Outcome, note: u64, report: Option<String>, events: u64 },
     /// A probe has ended.
     Probed { server: ServerId, outcome: Outcome, report: Option<String> },
+    /// The wall clock was read: so many microseconds ahead of the node's.
+    WallClock { ahead: i64 },
     /// A list came from discovery.
     Listed { list: List, restored: bool },
     /// A release was said to an engine; `heard`: it has answered.
@@ -161,6 +164,7 @@
     /// By class: it may run any number of times.
     safe: Vec<bool>,
     directory: Directory,
+    engine_starts: EngineStarts,
     /// Servers whose role is to read.
     readers: HashMap<ServerId, bool>,
     open: BTreeMap<ReqId, Open>,
@@ -187,6 +191,7 @@
             roles: settings.roles.clone(),
             safe: settings.classes.iter().map(|class| class.repeat == Repeat::Safe).collect(),
             directory: Directory::default(),
+            engine_starts: EngineStarts::default(),
             readers: HashMap::new(),
             open: BTreeMap::new(),
             ids: HashMap::new(),
@@ -293,7 +298,8 @@
                 self.counts.probes_unread += u64::from(load.is_none());
                 self.events.push_back(Event::Probed { server, outcome, took: 0, load });
             }
-            Input::Listed { list, restored } => self.listed(list, restored, out),
+            Input::WallClock { ahead } => self.engine_starts.wall_clock(ahead),
+            Input::Listed { list, restored } => self.listed(now, list, restored, out),
             Input::Stopping { within } => self.events.push_back(Event::Stopping { within }),
             Input::Settings { settings } => {
                 self.fields = settings.report_fields.clone();
@@ -401,7 +407,10 @@
         });
     }
 
-    fn listed(&mut self, list: List, restored: bool, out: &mut Vec<Command>) {
+    fn listed(&mut self, now: Time, mut list: List, restored: bool, out: &mut Vec<Command>) {
+        for Host { entry, .. } in &mut list.hosts {
+            entry.ready_at = self.engine_starts.place(&entry.server, entry.ready_at, now);
+        }
         if list.whole {
             self.readers.clear();
         }
@@ -413,6 +422,7 @@
         let directory = &self.directory;
         self.readers.retain(|server, _| directory.dial(server).is_some());
         self.reach.keep(directory);
+        self.engine_starts.keep(directory);
         self.withdraw_from_leavers(out);
         self.events.push_back(Event::Servers { mode, entries });
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ask;
 pub mod check;
 pub mod counting;
+pub mod engine_start;
 pub mod forward;
 pub mod hub;
 pub mod kept;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -117,7 +117,7 @@
                 zone: position(&names.zones, &host.site) as u32,
                 cell: host.block,
                 weight: if host.share.is_finite() && host.share > 0.0 { host.share } else { 1.0 },
-                // The node's clock counts from the Unix epoch.
+                // As wall time; `engine_start` puts it on the node's clock.
                 ready_at: host.born_ms.saturating_mul(1000) as Time,
             };
             hosts.push(Host { entry, dial });
