--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -388,6 +388,7 @@
         };
         let Some(request) = self.requests.get_mut(&id) else { return false };
         request.out = Some((server.clone(), request.tries));
+        request.ranking = None;
         request.tries += 1;
         if let Some(view) = self.views.get_mut(server) {
             if kind == Kind::Far {
