--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -64,9 +64,9 @@
         }
         // A state that a writer misses may be out of reach, behind a cut: let go of it before reading anew.
         let missed = outcome == Outcome::Full && note == 1;
-        // Let go of beside an attempt that never came up, or that ran out of time: held to be gone. Where the attempt
-        // had arrived it is let go of now; the next writer would most often find nothing to fetch.
-        let gone = let_go && matches!(outcome, Outcome::NoConnection | Outcome::TimedOut);
+        // Let go of beside an attempt that never came up: nothing kept it. One that ran out of time may have arrived,
+        // and then the state still waits for the next.
+        let gone = let_go && outcome == Outcome::NoConnection;
         if missed || gone || request.state.as_ref().is_some_and(|(_, since)| now > since + self.set.let_go_by)
         {
             request.state = None;
@@ -134,7 +134,7 @@
         }
         self.move_streams(now, out);
         let keep = (LET_GO * self.set.let_go_by as f64) as Time;
-        self.let_go_beside_attempts(now, keep, out);
+        self.let_go_beside_attempts(now, out);
         let stuck: Vec<ReqId> = self.held().collect();
         for id in stuck {
             let Some(request) = self.requests.get_mut(&id) else { return };
@@ -153,7 +153,8 @@
 
     /// An attempt that was written may never arrive, and nothing tells: what it comes for is let go of all the same, once.
     /// A server keeps what an attempt waits for there, so this takes nothing from one that has arrived.
-    fn let_go_beside_attempts(&mut self, now: Time, keep: Time, out: &mut Vec<Action>) {
+    fn let_go_beside_attempts(&mut self, now: Time, out: &mut Vec<Action>) {
+        let keep = (LET_GO_BESIDE * self.set.let_go_by as f64) as Time;
         for (id, request) in &mut self.requests {
             let due = request.state.as_ref().is_some_and(|(_, since)| now >= since + keep);
             if due && request.out.is_some() && !request.let_go {
--- a/src/policy/tunables.rs
+++ b/src/policy/tunables.rs
@@ -32,6 +32,9 @@
 pub(super) const PROVEN: f64 = 12.0;
 /// A state that no writer takes is let go after this share of the time that the rule allows.
 pub(super) const LET_GO: f64 = 0.6;
+/// One for which an attempt is out that may never have arrived: later, since most have, and a release is a call. What the
+/// platform gives beyond the rule's time is left for a call that has to go to other servers.
+pub(super) const LET_GO_BESIDE: f64 = 0.9;
 /// Share of the cold budget that is used: the rest is room for uneven splits among fronts.
 pub(super) const COLD_USE: f64 = 0.6;
 /// Readers of a cell with hardly any writers still get this part of the others' reads.
