--- a/src/policy/index.rs
+++ b/src/policy/index.rs
@@ -118,6 +118,7 @@
 }
 
 /// Whether servers of a role that have not lately answered a class come last.
+#[derive(Clone, Copy)]
 pub(super) struct Wary {
     pub(super) active: bool,
     pub(super) class: usize,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,8 +1,11 @@
 //! Every decision of the router, every table, default and tuned value. The interface is `src/api.rs`.
 mod dispatcher;
 mod guards;
+mod hand_over;
 mod index;
 mod monitor;
+mod placement;
+mod ranking;
 mod requests;
 mod tunables;
 mod views;
