--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -64,9 +64,9 @@
         }
         // A state that a writer misses may be out of reach, behind a cut: let go of it before reading anew.
         let missed = outcome == Outcome::Full && note == 1;
-        // Let go of beside an attempt that never came up: nothing kept it. One that ran out of time may have arrived,
-        // and then the state still waits for the next.
-        let gone = let_go && outcome == Outcome::NoConnection;
+        // Let go of beside an attempt that never came up, or that ran out of time: held to be gone. Where the attempt
+        // had arrived it is let go of now: at a silent or hung server the next would find nothing to fetch.
+        let gone = let_go && matches!(outcome, Outcome::NoConnection | Outcome::TimedOut);
         if missed || gone || request.state.as_ref().is_some_and(|(_, since)| now > since + self.set.let_go_by)
         {
             request.state = None;
