--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -42,8 +42,9 @@
         }
     }
 
-    /// Held requests are tried at each event, and each may cost a pass over all servers: that has a share of the time.
-    /// Guards against large fleets before which such passes take all of it, and all requests come late.
+    /// Held requests are tried at each event, and each may cost a pass over all servers: that has a share
+    /// of the time. Guards against large fleets before which such passes take all of it, and all requests
+    /// come late.
     fn charge(&mut self, now: Time, examined: u64) {
         let spare = now.saturating_sub(self.sweep_every());
         self.examined_until = self.examined_until.max(spare) + examined / EXAMINED_PER_US;
--- a/src/policy/hand_over.rs
+++ b/src/policy/hand_over.rs
@@ -11,8 +11,8 @@
         }
     }
 
-    /// The writer with the fewest tokens running, those of the reader's cell first: they are looked at in full, the
-    /// others only where their tokens alone do not put them behind.
+    /// The writer with the fewest tokens running, those of the reader's cell first: they are looked at in
+    /// full, the others only where their tokens alone do not put them behind.
     fn pick_writer(&self, now: Time, id: ReqId, salt: &str) -> Option<(ServerId, Kind)> {
         let request = self.requests.get(&id)?;
         let (reader, _) = request.state.as_ref()?;
--- a/src/policy/index.rs
+++ b/src/policy/index.rs
@@ -1,5 +1,6 @@
-//! What is kept beside the views of servers, so that no event costs a pass over all of them: the running servers by what
-//! they do, kept texts, servers under suspicion, and states that wait for a link. Each holds what a pass would find.
+//! What is kept beside the views of servers, so that no event costs a pass over all of them: the running
+//! servers by what they do, kept texts, servers under suspicion, and states that wait for a link. Each
+//! holds what a pass would find.
 use super::*;
 
 /// A running reader, as the ranking of readers needs it.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -52,7 +52,8 @@
     link_waits: LinkWaits,
     /// Servers that failed for a class and have not answered it since.
     struck: BTreeSet<ServerId>,
-    /// Servers that passes over the list have looked at, and until when those for held requests have used up their share.
+    /// Servers that passes over the list have looked at, and until when those for held requests have used
+    /// up their share.
     examined: Cell<u64>,
     examined_until: Time,
 }
--- a/src/policy/ranking.rs
+++ b/src/policy/ranking.rs
@@ -2,8 +2,9 @@
 use super::*;
 
 impl Router {
-    /// Readers by where their texts are at home; near times go by a hash of session and server, weighted by what all
-    /// fronts see alike: the writers of its cell, so that few states leave it. It stands until the list changes.
+    /// Readers by where their texts are at home; near times go by a hash of session and server, weighted by
+    /// what all fronts see alike: the writers of its cell, so that few states leave it. It stands until the
+    /// list changes.
     pub(super) fn ranking(&mut self, id: ReqId) -> Ranking {
         let known = self.requests.get_mut(&id).and_then(|request| request.ranking.take());
         if let Some(ranking) = known.filter(|ranking| ranking.version == self.index.version) {
@@ -26,9 +27,9 @@
         Ranking { version, order }
     }
 
-    /// The usable readers one after the other, found as they are asked for. Lagging reports order nothing: guards
-    /// against herds, and sessions read anew elsewhere (seven times the work). Where few are asked, a cold reader
-    /// that is drawn comes first: guards against a draw thinned twice.
+    /// The usable readers one after the other, found as they are asked for. Lagging reports order nothing:
+    /// guards against herds, and sessions read anew elsewhere (seven times the work). Where few are asked,
+    /// a cold reader that is drawn comes first: guards against a draw thinned twice.
     pub(super) fn readers_in_turn<'a>(
         &'a self,
         now: Time,
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -54,9 +54,9 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.out = None;
         let let_go = std::mem::take(&mut request.let_go);
-        // The state's time starts anew at what an attempt came to only where it is known to have arrived, or where the
-        // state was let go of beside it: one that never came up, or was written to a silent link, was never out.
-        // Guards against try after try.
+        // The state's time starts anew at what an attempt came to only where it is known to have arrived,
+        // or where the state was let go of beside it: one that never came up, or was written to a silent
+        // link, was never out. Guards against try after try.
         let arrived = matches!(outcome, Outcome::Full | Outcome::Error);
         let anew = arrived || (let_go && outcome != Outcome::NoConnection);
         if let Some((_, since)) = request.state.as_mut().filter(|_| anew) {
@@ -64,8 +64,9 @@
         }
         // A state that a writer misses may be out of reach, behind a cut: let go of it before reading anew.
         let missed = outcome == Outcome::Full && note == 1;
-        // Let go of beside an attempt that never came up, or that ran out of time: held to be gone. Where the attempt
-        // had arrived it is let go of now: at a silent or hung server the next would find nothing to fetch.
+        // Let go of beside an attempt that never came up, or that ran out of time: held to be gone. Where
+        // the attempt had arrived it is let go of now: at a silent or hung server the next would find
+        // nothing to fetch.
         let gone = let_go && matches!(outcome, Outcome::NoConnection | Outcome::TimedOut);
         if missed || gone || request.state.as_ref().is_some_and(|(_, since)| now > since + self.set.let_go_by)
         {
@@ -151,8 +152,9 @@
         }
     }
 
-    /// An attempt that was written may never arrive, and nothing tells: what it comes for is let go of all the same, once.
-    /// A server keeps what an attempt waits for there, so this takes nothing from one that has arrived.
+    /// An attempt that was written may never arrive, and nothing tells: what it comes for is let go of all
+    /// the same, once. A server keeps what an attempt waits for there, so this takes nothing from one that
+    /// has arrived.
     fn let_go_beside_attempts(&mut self, now: Time, out: &mut Vec<Action>) {
         let keep = (LET_GO_BESIDE * self.set.let_go_by as f64) as Time;
         for (id, request) in &mut self.requests {
--- a/src/policy/tunables.rs
+++ b/src/policy/tunables.rs
@@ -32,8 +32,8 @@
 pub(super) const PROVEN: f64 = 12.0;
 /// A state that no writer takes is let go after this share of the time that the rule allows.
 pub(super) const LET_GO: f64 = 0.6;
-/// One for which an attempt is out that may never have arrived: later, since most have, and a release is a call. What the
-/// platform gives beyond the rule's time is left for a call that has to go to other servers.
+/// One for which an attempt is out that may never have arrived: later, since most have, and a release is a
+/// call. What the platform gives beyond the rule's time is left for a call that has to go to other servers.
 pub(super) const LET_GO_BESIDE: f64 = 0.9;
 /// Share of the cold budget that is used: the rest is room for uneven splits among fronts.
 pub(super) const COLD_USE: f64 = 0.6;
@@ -51,7 +51,8 @@
 pub(super) const KEPT_MOST: usize = 2000;
 /// Held requests that fit nowhere before the rest is left for the next event.
 pub(super) const MISSES: u32 = 8;
-/// Servers that passes for held requests may look at in a microsecond, so that they take a small share of a core.
+/// Servers that passes for held requests may look at in a microsecond, so that they take a small share of a
+/// core.
 pub(super) const EXAMINED_PER_US: u64 = 1;
 /// Read times within the TTFT aim over this are a tie.
 pub(super) const TIE: f64 = 20.0;
