--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -423,6 +423,8 @@
     answered = record.find("answered", id=trace)
     if not answered:
         ended = record.find("connection ended", id=trace)
+        if ended and ended[0]["end"] == "broken":
+            return None  # its stream had begun, and broke off: failed, not lost
         return "its connection ended without an answer" if ended else "never answered"
     after = answered[0]["first_after"]
     if after > limit:
