--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -441,6 +441,12 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("case", folder=os.path.basename(folder), trouble=trouble)
     code = 2
+
+    def ended(number, _frame):
+        raise RuntimeError("ended from outside by signal %d" % number)  # so that `play` ends what it started
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, ended)
     try:
         breaks = play(record, trouble)
         code = 1 if breaks else 0
