Give every connection and listener an I/O budget between two polls of all sockets

Callers saw: while three clients kept hundreds of requests without an id outstanding, all others waited, new connections included.

Cause: a coroutine gives way when it waits, and it waited only when its socket was empty. There is one worker thread, so a connection with bytes always ready kept it: requests, bodies, interim responses, comments, trailers, discovery's answer, accepts. Their deadlines were looked at on an empty socket only, so they never ended either.

Change: crates/net/src/budget.rs. After 32 operations without a poll the coroutine waits for an eventfd that only a poll of all sockets can report; the end of the run queue would not do, since the runtime polls when that queue is empty. Conn::try_fill takes the deadline of its loop, which counts once 64 reads in a row found bytes.

--- a/crates/cli/tests/node/main.rs
+++ b/crates/cli/tests/node/main.rs
@@ -3,6 +3,7 @@
 //! far longer than the awaited event takes.
 
 mod bed;
+mod busy_peers;
 mod client_gone;
 mod closing;
 mod discovery;
--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -232,6 +232,15 @@
         std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()
     }
 
+    /// CPU time that the process has used, in clock ticks.
+    pub fn cpu_ticks(&self) -> u64 {
+        let stat = self.stat().unwrap_or_default();
+        // The fields behind the name, which may hold spaces, begin with the third; the 14th and the 15th are
+        // the time in user mode and in the system.
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or_default().split(' ').collect();
+        [11, 12].iter().filter_map(|n| fields.get(*n)?.parse::<u64>().ok()).sum()
+    }
+
     /// Waits until the node has processed all events that came before. It sends a request with no time left,
     /// whose events pass through the same queue behind them, and waits for the answer.
     pub fn wait_until_processed(&self) {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -40,7 +40,7 @@
 /// backlog is full counts as unreachable.
 pub fn connect(endpoint: impl Into<Endpoint>, timeout: Duration) -> Result<Conn, NetError> {
     let until = Instant::now() + timeout;
-    let conn = match endpoint.into() {
+    let mut conn = match endpoint.into() {
         Endpoint::Tcp(addr) => {
             let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
             start_connect(&socket, &addr.into())?;
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -11,11 +11,15 @@
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use thiserror::Error;
 
+use crate::budget::IoBudget;
 use crate::stream::Stream;
 use crate::watch::WaitLimit;
 
 /// Bytes requested from the system in one socket read.
 const READ_SIZE: usize = 8 << 10;
+/// Reads in a row that all found bytes, from which on a peer counts as one that keeps the socket full. More than
+/// a whole message of the sizes that are accepted here needs.
+const READS_OF_A_FULL_SOCKET: u32 = 64;
 /// Poll interval for a socket where the caller is a thread and not a coroutine.
 const THREAD_POLL_INTERVAL: Duration = Duration::from_micros(300);
 
@@ -81,6 +85,9 @@
     /// When the socket last accepted bytes.
     last_write: Option<Instant>,
     wait_limit: Arc<WaitLimit>,
+    budget: IoBudget,
+    /// Reads that found bytes since one that found none.
+    reads_since_empty: u32,
     /// Maximum sizes of heads and bodies that are accepted from the peer.
     pub limits: Limits,
     /// Keeps the descriptor open until `io` has deregistered it (fields are dropped in this order). If it
@@ -98,6 +105,8 @@
         let io = CoIo::new(stream.clone()).map_err(|error| NetError::Io(error.into()))?;
         Ok(Conn {
             wait_limit: WaitLimit::new(io.waker()),
+            budget: IoBudget::new(),
+            reads_since_empty: 0,
             io,
             buffer: Vec::new(),
             consumed: 0,
@@ -116,7 +125,7 @@
     }
 
     /// Waits until a connect in progress has succeeded or failed.
-    pub(crate) fn wait_connected(&self, until: Instant) -> Result<(), NetError> {
+    pub(crate) fn wait_connected(&mut self, until: Instant) -> Result<(), NetError> {
         loop {
             if let Some(error) = self.io.inner().take_error()? {
                 return Err(error.into());
@@ -164,20 +173,21 @@
 
     /// Waits until the socket's readiness has changed, the waker is called, or `until`. It may return early
     /// without a cause.
-    pub fn pause(&self, until: Option<Instant>) {
+    pub fn pause(&mut self, until: Option<Instant>) {
         // The caller checks the time itself, so a timeout is no error here.
         let _ = self.wait(until);
     }
 
     /// Waits until the socket may be ready, or `until`. Fails with [`NetError::TimedOut`] if that time has
     /// passed.
-    fn wait(&self, until: Option<Instant>) -> Result<(), NetError> {
+    fn wait(&mut self, until: Option<Instant>) -> Result<(), NetError> {
         if until.is_some_and(|until| Instant::now() >= until) {
             return Err(NetError::TimedOut);
         }
         if may::coroutine::is_coroutine() {
             self.wait_limit.set(until);
-            self.io.wait_io();
+            let readiness = self.io.wait_io();
+            self.budget.refill_after_wait(readiness);
         } else {
             // Only tests and the control code of a rehearsal wait in threads.
             std::thread::sleep(THREAD_POLL_INTERVAL);
@@ -185,17 +195,39 @@
         Ok(())
     }
 
-    /// Reads from the socket into the buffer from `offset` on, and waits for bytes within the time limits.
-    fn read_socket(&mut self, offset: usize) -> Result<usize, NetError> {
-        let timeout = self.read_timeout.map(|time| Instant::now() + time);
-        let until = [self.deadline, timeout].into_iter().flatten().min();
-        loop {
-            match self.io.inner().read(&mut self.buffer[offset..]) {
-                Ok(n) => return Ok(n),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.wait(until)?,
+    /// Reads once from the socket, at the end of the buffer, without waiting for bytes. `None`: the socket is
+    /// empty. Fails with [`NetError::TimedOut`] if `deadline` has passed and the peer keeps the socket full;
+    /// otherwise bytes that have arrived count however late they are read.
+    fn read_available(&mut self, deadline: Option<Instant>) -> Result<Option<usize>, NetError> {
+        self.budget.spend();
+        if self.reads_since_empty >= READS_OF_A_FULL_SOCKET
+            && deadline.is_some_and(|deadline| Instant::now() >= deadline)
+        {
+            return Err(NetError::TimedOut);
+        }
+        if self.consumed > 0 {
+            self.buffer.drain(..self.consumed);
+            self.consumed = 0;
+        }
+        let old = self.buffer.len();
+        self.buffer.resize(old + READ_SIZE, 0);
+        let read = loop {
+            match self.io.inner().read(&mut self.buffer[old..]) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return Err(error.into()),
+                read => break read,
             }
+        };
+        self.buffer.truncate(old + *read.as_ref().unwrap_or(&0));
+        match read {
+            Ok(n) => {
+                self.reads_since_empty = self.reads_since_empty.saturating_add(1);
+                Ok(Some(n))
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                self.reads_since_empty = 0;
+                Ok(None)
+            }
+            Err(error) => Err(error.into()),
         }
     }
 
@@ -218,23 +250,14 @@
         self.buffer.shrink_to(0);
     }
 
-    /// Reads from the socket what is available without waiting; `false` if nothing is.
-    pub fn try_fill(&mut self) -> Result<bool, NetError> {
-        if self.consumed > 0 {
-            self.buffer.drain(..self.consumed);
-            self.consumed = 0;
-        }
-        let old = self.buffer.len();
-        self.buffer.resize(old + READ_SIZE, 0);
-        let read = self.io.inner().read(&mut self.buffer[old..]);
-        self.buffer.truncate(old + *read.as_ref().unwrap_or(&0));
-        match read {
-            Ok(0) => Err(NetError::Closed),
-            Ok(_) => Ok(true),
-            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
-                Ok(false)
-            }
-            Err(error) => Err(error.into()),
+    /// Reads from the socket what is available without waiting for bytes; `false` if nothing is. The coroutine
+    /// may give way to others first. Fails with [`NetError::TimedOut`] if `deadline` has passed and the peer
+    /// keeps the socket full, so that a loop that reads until the socket is empty ends.
+    pub fn try_fill(&mut self, deadline: Option<Instant>) -> Result<bool, NetError> {
+        match self.read_available(deadline)? {
+            Some(0) => Err(NetError::Closed),
+            Some(_) => Ok(true),
+            None => Ok(false),
         }
     }
 
@@ -293,7 +316,7 @@
         while discarded < max_bytes {
             discarded += self.pending().len();
             self.consume(usize::MAX);
-            match self.try_fill() {
+            match self.try_fill(Some(until)) {
                 Ok(true) => {}
                 Ok(false) if Instant::now() < until => self.pause(Some(until)),
                 Ok(false) | Err(_) => return,
@@ -301,18 +324,12 @@
         }
     }
 
-    /// Reads more bytes from the socket, and waits for them.
+    /// Reads more bytes from the socket, and waits for them within the time limits.
     pub fn fill(&mut self) -> Result<(), NetError> {
-        if self.consumed > 0 {
-            self.buffer.drain(..self.consumed);
-            self.consumed = 0;
-        }
-        let old = self.buffer.len();
-        self.buffer.resize(old + READ_SIZE, 0);
-        let read = self.read_socket(old);
-        self.buffer.truncate(old + *read.as_ref().unwrap_or(&0));
-        if read? == 0 {
-            return Err(NetError::Closed);
+        let timeout = self.read_timeout.map(|time| Instant::now() + time);
+        let until = [self.deadline, timeout].into_iter().flatten().min();
+        while !self.try_fill(until)? {
+            self.wait(until)?;
         }
         Ok(())
     }
@@ -330,6 +347,7 @@
         // accepts.
         let mut until = None;
         while !rest.is_empty() {
+            self.budget.spend();
             match self.io.inner().write(rest) {
                 Ok(0) => return Err(NetError::Closed),
                 Ok(n) => {
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -15,6 +15,7 @@
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use socket2::{Domain, SockAddr, SockRef, Socket, Type};
 
+use crate::budget::IoBudget;
 use crate::conn::Conn;
 use crate::stream::Stream;
 
@@ -194,7 +195,9 @@
     /// coroutine. Calls `on_error` when the system had no descriptor or memory for a connection. The listener
     /// then tries again.
     pub fn serve(self, mut on_connection: impl FnMut(Conn), mut on_error: impl FnMut(&io::Error)) {
+        let mut budget = IoBudget::new();
         while !self.is_stopped.load(Ordering::SeqCst) {
+            budget.spend();
             match self.io.inner().accept() {
                 Ok(_) if self.is_stopped.load(Ordering::SeqCst) => break,
                 Ok(stream) => match Conn::new(stream) {
@@ -205,7 +208,7 @@
                     if self.is_draining.load(Ordering::SeqCst) {
                         break;
                     }
-                    self.io.wait_io();
+                    budget.refill_after_wait(self.io.wait_io());
                 }
                 Err(_) if self.is_stopped.load(Ordering::SeqCst) => break,
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
--- a/crates/net/src/spawn.rs
+++ b/crates/net/src/spawn.rs
@@ -20,6 +20,7 @@
             .set_workers(workers.max(1))
             .set_stack_size(STACK_WORDS)
             .set_pool_capacity(STACK_POOL_CAPACITY);
+        crate::budget::init_barrier();
     });
 }
 
@@ -33,6 +34,7 @@
             .set_stack_size(STACK_WORDS)
             .set_pool_capacity(stacks.max(1))
             .set_worker_pin(false);
+        crate::budget::init_barrier();
     });
 }
 
--- a/crates/net/tests/limits.rs
+++ b/crates/net/tests/limits.rs
@@ -38,7 +38,7 @@
             conn.waker().wake();
             conn.pause(Some(Instant::now() + Duration::from_millis(1)));
             // Waits for the peer's byte, which arrives at about that time.
-            while !matches!(conn.try_fill(), Ok(true)) {
+            while !matches!(conn.try_fill(None), Ok(true)) {
                 conn.pause(Some(Instant::now() + LONG * 10));
             }
             conn.consume(usize::MAX);
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -160,7 +160,7 @@
         if conn.has_pending() {
             return Ok(());
         }
-        match conn.try_fill() {
+        match conn.try_fill(None) {
             Ok(true) => return Ok(()),
             Ok(false) => {}
             Err(_) => return Err(CloseReason::Client),
@@ -344,7 +344,7 @@
                 self.has_more = true;
                 return false;
             }
-            match conn.try_fill() {
+            match conn.try_fill(None) {
                 Ok(true) => {}
                 Ok(false) => return false,
                 Err(_) => return true,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -102,8 +102,8 @@
                 }
             }
         }
-        if !conn.try_fill()? {
-            let time_left = Duration::from_micros(watch.deadline().saturating_sub(clock.now()));
+        let time_left = Duration::from_micros(watch.deadline().saturating_sub(clock.now()));
+        if !conn.try_fill(Some(Instant::now() + time_left))? {
             if time_left.is_zero() {
                 return Err(NetError::TimedOut);
             }
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -225,9 +225,10 @@
         if attempt.is_some_and(|attempt| attempt.channel.is_cancelled(attempt.number)) {
             return Err(AbortReason::Cancelled);
         }
-        match connection.conn().try_fill() {
+        match connection.conn().try_fill(Some(deadline)) {
             Ok(true) => return Ok(()),
             Ok(false) => {}
+            Err(NetError::TimedOut) => return Err(AbortReason::TimedOut),
             Err(_) => return Err(AbortReason::Broken),
         }
         if attempt.is_some_and(|attempt| attempt.channel.is_stream_cut()) {
@@ -358,8 +359,8 @@
         }
         if attempt.channel.is_stream_cut() {
             // Bytes that have already arrived are still passed on, so a stream that the engine has finished
-            // is complete.
-            match connection.conn().try_fill() {
+            // is complete. One that keeps its socket full is cut all the same.
+            match connection.conn().try_fill(Some(Instant::now())) {
                 Ok(true) => continue,
                 _ => return Ok((AttemptEnd { outcome: Outcome::Cancelled, ..broken(has_begun) }, false)),
             }
