Refuse late requests of a shutdown whose streams can neither end nor move before the kill

Cause: the module bounded the first token of such a request by the end of the node, and nothing looked at the stream behind it.

Change: src/policy/shutdown.rs. The module is told from when on a request must have ended (0.7 s after SIGTERM, less the margin). Where streams can't be resumed, the first token of a late request is due early enough for all its tokens at twice the TPOT target; a request that has no time left is refused at once, before an engine has it. At the end all streams that can move are moved, and those that may not be under way are ended. An attempt with a stalled client is ended by a move, too.

--- a/crates/cli/tests/node/shutdown.rs
+++ b/crates/cli/tests/node/shutdown.rs
@@ -101,6 +101,37 @@
     assert!(node.exits_successfully());
 }
 
+/// Guards against streams that SIGKILL cuts: where streams cannot be resumed, a request whose last byte came
+/// late after SIGTERM was forwarded, although its stream could not end before the node is killed.
+#[test]
+fn a_request_completed_late_in_a_shutdown_is_refused_before_an_engine_has_it() {
+    // On a busy machine the client may take longer than a node waits for a whole request. The test is
+    // repeated then.
+    let has_succeeded = (0..10).any(|n| {
+        let bed = TestBed::new(1, 1);
+        let mut node = bed.node(|config| config["settings"]["domain"]["resume"] = false.into());
+        let mut client = node.client();
+        let request = long_lived_chat(&format!("late-{n}"), "plain");
+        let (begun, rest) = request.split_at(request.len() / 2);
+        client.send(begun);
+        node.wait_until_processed();
+        node.signal("TERM");
+        node.wait_until_unreachable();
+        // Longer than the time after SIGTERM in which requests may be under way at SIGKILL.
+        std::thread::sleep(Duration::from_millis(300));
+        client.send(rest);
+        let answer = client.answer();
+        if answer.status == 408 {
+            return false;
+        }
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(bed.readers[0].try_next_request().is_none(), "an engine has the request");
+        assert!(node.exits_successfully());
+        true
+    });
+    assert!(has_succeeded, "the request was never completed in time");
+}
+
 /// Connections that wait in the listener's backlog when the node stops accepting are served.
 #[test]
 fn connections_in_the_backlog_are_served_when_the_listener_closes() {
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -367,6 +367,7 @@
         }
         while !attempt.channel.has_room()
             && !attempt.channel.is_closed()
+            && !attempt.channel.is_stream_cut()
             && !attempt.channel.is_cancelled(attempt.number)
         {
             connection.conn().pause(Some(Instant::now() + SLOW_CLIENT_POLL_INTERVAL));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -62,6 +62,9 @@
 const MAX_COUNTED_CLIENT_WAIT: Duration = Duration::from_secs(3);
 const KILL_DELAY: Duration = Duration::from_millis(700);
 const KILL_MARGIN: Duration = Duration::from_millis(150);
+/// The platform allows for requests under way when it kills the node only if they were received within this
+/// time after SIGTERM.
+const ALLOWED_UNDER_WAY: Duration = Duration::from_millis(700);
 /// Longest time before the node reports itself ready without a server list from discovery. The list in its
 /// configuration may be out of date, and the platform expects a node to know discovery's list from the start.
 /// So the node is ready when the first list has arrived, or after this time if discovery is silent.
@@ -259,8 +262,12 @@
                 shared.client_connections.evict_idle();
                 let longest_wait = Duration::from_micros(shared.longest_wait.load(Ordering::SeqCst));
                 let time_until_kill = longest_wait.min(MAX_COUNTED_CLIENT_WAIT) + KILL_DELAY;
-                let within = time_until_kill.saturating_sub(at.elapsed() + KILL_MARGIN).as_micros() as u64;
-                shared.submit(Event::HubInput(Input::ShuttingDown { within }));
+                // The signal may have been noticed late, so both times are counted with the margin.
+                let time_left = |after_sigterm: Duration| {
+                    after_sigterm.saturating_sub(at.elapsed() + KILL_MARGIN).as_micros() as u64
+                };
+                let (within, late_after) = (time_left(time_until_kill), time_left(ALLOWED_UNDER_WAY));
+                shared.submit(Event::HubInput(Input::ShuttingDown { within, late_after }));
                 tracing::info!(target: "node", after_ms = at.elapsed().as_millis() as u64, "no longer accepts connections");
             }
             let is_busy = !stop.is_closed()
--- a/crates/platform/src/hub/messages.rs
+++ b/crates/platform/src/hub/messages.rs
@@ -39,8 +39,9 @@
         engine: ServerId,
         acknowledged: bool,
     },
-    /// The node shuts down within this time.
-    ShuttingDown { within: Time },
+    /// The node shuts down within this time. Requests that arrive `late_after` from now or later must have ended
+    /// when it is killed.
+    ShuttingDown { within: Time, late_after: Time },
     /// New settings with the same classes, kinds and zones.
     Settings { settings: Box<Settings> },
 }
--- a/crates/platform/src/hub/mod.rs
+++ b/crates/platform/src/hub/mod.rs
@@ -211,7 +211,9 @@
             }
             Input::WallClock { ahead } => self.engine_starts.set_wall_clock_offset(ahead),
             Input::ListReceived { list, restored } => self.apply_list(now, list, restored, commands),
-            Input::ShuttingDown { within } => self.events.push_back(Event::Stopping { within }),
+            Input::ShuttingDown { within, late_after } => {
+                self.events.push_back(Event::Stopping { within, late_after });
+            }
             Input::Settings { settings } => {
                 self.report_fields = settings.report_fields.clone();
                 self.roles = settings.roles.clone();
--- a/crates/platform/tests/hub.rs
+++ b/crates/platform/tests/hub.rs
@@ -346,7 +346,7 @@
         sent_attempt(&harness.handle(Input::Arrived { id: RequestId(1), client_request: long })).unwrap();
     harness.end_attempt(1, attempt, Outcome::Read);
     harness.handle(Input::FirstEvent { id: RequestId(1), attempt: 1 });
-    harness.handle(Input::ShuttingDown { within: 2_000 * MS });
+    harness.handle(Input::ShuttingDown { within: 2_000 * MS, late_after: 250 * MS });
     let commands = harness.advance(2_000 * MS);
     let moves =
         commands.iter().filter(|command| **command == Command::EndStream { id: RequestId(1) }).count();
--- a/src/api.rs
+++ b/src/api.rs
@@ -315,8 +315,9 @@
     Place { id: RequestId, attempt: u32, server: ServerId, held: bool },
     /// A timer set with [`Action::Timer`] has expired.
     Timer { name: u64 },
-    /// This front shuts down: no new requests arrive, and what still runs after `within` is cut.
-    Stopping { within: Time },
+    /// This front shuts down and is killed some time after `within`. Requests that arrive `late_after` from now
+    /// or later must have ended by then; the streams of earlier ones may be cut.
+    Stopping { within: Time, late_after: Time },
 }
 
 /// An action for the host to carry out.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod ranking;
 mod requests;
+mod shutdown;
 mod tunables;
 mod views;
 use std::cell::Cell;
@@ -19,6 +20,7 @@
 
 use crate::api::*;
 use index::*;
+use shutdown::Shutdown;
 use tunables::*;
 use views::*;
 
@@ -57,9 +59,8 @@
     is_sweep_scheduled: bool,
     /// When to call for the list of servers again after a failed call.
     subscribe_retry_at: Option<Time>,
-    /// Set while this front shuts down: when the next stream is moved, when the last one is to be moved, and
-    /// when the front ends.
-    shutdown: Option<(Time, Time, Time)>,
+    /// Set while this front shuts down.
+    shutdown: Option<Shutdown>,
     server_index: ServerIndex,
     cache_index: CacheIndex,
     pending_transfers: PendingTransfers,
@@ -97,10 +98,7 @@
             Event::Probed { server, load, .. } => self.record_report(now, &server, load),
             Event::ClientGone { id } => self.on_client_gone(now, id, actions),
             Event::Timer { name: SWEEP_TIMER } => self.sweep(now, actions),
-            Event::Stopping { within } => {
-                let after_share = |share: f64| now + (share * within as f64) as Time;
-                self.shutdown = Some((after_share(MOVE_WINDOW.0), after_share(MOVE_WINDOW.1), now + within));
-            }
+            Event::Stopping { within, late_after } => self.begin_shutdown(now, within, late_after),
             Event::Timer { .. } | Event::Place { .. } => {}
         }
         self.dispatch_held(now, arrived_id, actions);
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -27,10 +27,17 @@
         self.mean_arrival_gap += weight * (gap as f64 - self.mean_arrival_gap);
         self.last_arrival = now;
         let id = arrival.id;
-        // No answer may be due after this front has ended.
-        let deadline = (now + arrival.time_left).min(self.shutdown.map_or(Time::MAX, |(_, _, end)| end));
-        let request =
-            Request { arrived_at: now, deadline, ttft_target, is_over_quota, arrival, ..Request::default() };
+        let must_end_before_kill = self.must_end_before_kill(now);
+        let deadline = self.first_token_deadline(now, &arrival);
+        let request = Request {
+            arrived_at: now,
+            deadline,
+            must_end_before_kill,
+            ttft_target,
+            is_over_quota,
+            arrival,
+            ..Request::default()
+        };
         self.requests.insert(id, request);
     }
 
@@ -161,15 +168,15 @@
         }
     }
 
-    /// Periodic work: repeats a failed call for the list, moves streams before shutdown, releases overdue KV
-    /// states and ends holds that took too long.
+    /// Periodic work: repeats a failed call for the list, ends streams before this front does, releases overdue
+    /// KV states and ends holds that took too long.
     pub(super) fn sweep(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.is_sweep_scheduled = false;
         if self.subscribe_retry_at.is_some_and(|at| now >= at) {
             self.subscribe_retry_at = Some(now + self.settings.resubscribe_within / SUBSCRIBE_RETRIES);
             actions.push(Action::Subscribe);
         }
-        self.move_streams(now, actions);
+        self.end_streams_for_shutdown(now, actions);
         let max_wait = (RELEASE_SHARE * self.settings.release_time_limit as f64) as Time;
         self.release_states_in_flight(now, actions);
         let held: Vec<RequestId> = self.held_requests().collect();
@@ -206,35 +213,4 @@
             }
         }
     }
-
-    /// Before this front ends, moves the streams that would be cut, one after the other over the remaining
-    /// time. Otherwise all their clients would come back at once, which no reader can serve.
-    fn move_streams(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let shutdown =
-            self.shutdown.filter(|(next_move, _, _)| self.settings.may_resume && now >= *next_move);
-        let Some((_, last_move, end)) = shutdown else { return };
-        let tpot_target = |request: &Request| {
-            self.settings.classes.get(request.arrival.class).map_or(0.0, |c| c.tpot_target)
-        };
-        // A stream past its end at the nominal pace is at a slow writer: its end is unknown.
-        let end_past_shutdown = |id: &RequestId, request: &Request| {
-            let attempt = self.views.get(&request.in_flight.as_ref()?.0)?.attempts.get(id)?;
-            let output_tokens = attempt.kv_tokens - request.arrival.prompt_tokens;
-            let predicted_end =
-                attempt.first_token_at? + (output_tokens * NOMINAL_TPOT_SHARE * tpot_target(request)) as Time;
-            Some(if predicted_end < now { Time::MAX } else { predicted_end })
-                .filter(|predicted_end| *predicted_end > end)
-        };
-        let interrupted =
-            self.requests.iter().filter(|(_, request)| request.is_streaming && !request.is_settled);
-        let interrupted: Vec<_> =
-            interrupted.filter_map(|(id, request)| Some((end_past_shutdown(id, request)?, *id))).collect();
-        let Some((_, id)) = interrupted.iter().max() else { return };
-        self.shutdown =
-            Some((now + last_move.saturating_sub(now) / interrupted.len() as Time, last_move, end));
-        if let Some(request) = self.requests.get_mut(id) {
-            request.is_settled = true;
-            actions.push(Action::Move { id: *id });
-        }
-    }
 }
--- a/src/policy/tunables.rs
+++ b/src/policy/tunables.rs
@@ -113,6 +113,9 @@
 /// Streams are moved in this part of a front's shutdown time. Before it, many streams end by themselves, and
 /// a neighbour that shut down first may not be back yet; after it, moved streams have no time to arrive.
 pub(super) const MOVE_WINDOW: (f64, f64) = (0.35, 0.9);
+/// Slowest time per output token that is counted on where a stream must end before its front does, as a
+/// multiple of the TPOT target.
+pub(super) const SLOWEST_TPOT_TARGETS: f64 = 2.0;
 /// Without a hint, the expected output as a share of the longest allowed output.
 pub(super) const DEFAULT_OUTPUT_SHARE: f64 = 0.5;
 /// Seconds of a tenant's quota that its bucket holds.
--- a/src/policy/views.rs
+++ b/src/policy/views.rs
@@ -145,7 +145,10 @@
 pub(super) struct Request {
     pub(super) arrival: Arrival,
     pub(super) arrived_at: Time,
+    /// Latest time for the first token.
     pub(super) deadline: Time,
+    /// The request may not be under way when this front is killed.
+    pub(super) must_end_before_kill: bool,
     /// TTFT target in microseconds, including the part for the prompt's length.
     pub(super) ttft_target: f64,
     /// The tenant was over its quota when the request arrived.
