Let a request wait for memory only while its client still has time

Cause: a request that waits for memory was bounded by the 2.1 s for receiving a whole request, not by the time its client has left, which the head states. The same wait could pass the kill of a node that shuts down.

Change: the wait ends after half of the client's time, so that the client can try another node, and at the end of a shutdown. ask::parse_time_left is the one reader of the header.

Bodies that stall still hold their memory until they are given up; others are refused in time meanwhile.

--- a/crates/cli/tests/node/input.rs
+++ b/crates/cli/tests/node/input.rs
@@ -5,6 +5,7 @@
 
 use serde_json::json;
 
+use crate::bed::{TestBed, long_lived_chat};
 use crate::support::*;
 
 #[test]
@@ -195,3 +196,36 @@
         assert!(is_served(&node.request(&format!("stays-{}", named[0].len()), "plain")), "{what}");
     }
 }
+
+/// Guards against answers that come too late: clients that stopped in the middle of large bodies held the whole
+/// memory for bodies, and a request that waited for memory was refused when theirs was given up, although its
+/// own client had left by then.
+#[test]
+fn a_request_waits_for_memory_no_longer_than_its_client_waits() {
+    let is_unanswered = |client: &Client| {
+        client.stream.set_nonblocking(true).unwrap();
+        let peeked = client.stream.peek(&mut [0]);
+        client.stream.set_nonblocking(false).unwrap();
+        peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    };
+    // On a busy machine the bodies may be given up before the request is sent. The test is repeated then.
+    let has_succeeded = (0..10).any(|n| {
+        let bed = TestBed::new(1, 1);
+        let node = bed.node(|config| config["limits"]["memory_mb"] = 1.into());
+        let mut stopping: Vec<Client> = (0..2).map(|_| node.client()).collect();
+        for (m, client) in stopping.iter_mut().enumerate() {
+            let request = long_lived_chat(&format!("stops-{n}-{m}"), "plain");
+            let head = request.split("Content-Length").next().unwrap();
+            client.send(&format!("{head}Content-Length: {}\r\n\r\n{{", 256 << 10));
+        }
+        // The node receives this after the heads of the bodies, whose memory is reserved by then.
+        assert_eq!(node.client().get("/-/ready"), Some(200));
+        // The bodies are given up well before the time limit on the whole of the next request.
+        std::thread::sleep(std::time::Duration::from_millis(200));
+        let mut client = node.client();
+        client.send(&chat(&format!("short-{n}"), "plain", 800));
+        let answer = client.answer();
+        answer.status == 503 && stopping.iter().all(is_unanswered)
+    });
+    assert!(has_succeeded, "each request was answered only after the bodies had been given up");
+}
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -47,6 +47,8 @@
 const DISCARD_PAUSE: Duration = Duration::from_millis(5);
 /// Pause between two attempts to reserve memory for a body.
 const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+/// Part of its client's time for which a request may wait for memory. The rest is left for another node.
+const MEMORY_WAIT_DIVISOR: u32 = 2;
 /// Maximum sizes of a request's head and body, in bytes.
 const REQUEST_LIMITS: Limits = Limits { head_bytes: 16 << 10, body_bytes: ask::MAX_BODY_BYTES };
 /// Microseconds in a second.
@@ -231,6 +233,24 @@
     received_at: Instant,
 }
 
+/// Waits for memory of this size, until `deadline` at most. `None`: there was none in time, or the client has
+/// disconnected.
+fn reserve_memory(shared: &Shared, conn: &mut Conn, bytes: usize, deadline: Instant) -> Option<MemoryPermit> {
+    loop {
+        if let Some(permit) = shared.body_memory.reserve(bytes) {
+            return Some(permit);
+        }
+        // A node that shuts down must answer before it is killed.
+        let shutdown_end = shared.shutdown_end.get().copied();
+        let deadline = shutdown_end.map_or(deadline, |end| end.min(deadline));
+        let retry_at = Instant::now() + MEMORY_RETRY_INTERVAL;
+        if retry_at >= deadline || conn.is_closed() {
+            return None;
+        }
+        conn.pause(Some(retry_at));
+    }
+}
+
 /// Receives a body within the size limit and the memory budget. `Err`: the status and message of the error
 /// response.
 fn receive_body(
@@ -240,18 +260,16 @@
     deadline: Instant,
 ) -> Result<ReceivedBody, (u16, String)> {
     let started = Instant::now();
+    let longest_wait = shared.longest_wait.load(Ordering::SeqCst);
+    let client_time = ask::parse_time_left(head, longest_wait).map_or(REQUEST_TIMEOUT, Duration::from_micros);
     let max_bytes = match head.framing {
         Framing::Length(n) => usize::try_from(n).unwrap_or(usize::MAX),
         _ => REQUEST_LIMITS.body_bytes,
     };
-    let memory_permit = loop {
-        if let Some(permit) = shared.body_memory.reserve(max_bytes.min(REQUEST_LIMITS.body_bytes)) {
-            break permit;
-        }
-        if Instant::now() + MEMORY_RETRY_INTERVAL >= deadline || conn.is_closed() {
-            return Err((503, "no memory left for a body".into()));
-        }
-        conn.pause(Some(Instant::now() + MEMORY_RETRY_INTERVAL));
+    let memory_deadline = deadline.min(started + client_time / MEMORY_WAIT_DIVISOR);
+    let bytes = max_bytes.min(REQUEST_LIMITS.body_bytes);
+    let Some(memory_permit) = reserve_memory(shared, conn, bytes, memory_deadline) else {
+        return Err((503, "no memory left for a body".into()));
     };
     let memory_wait = started.elapsed();
     let received = conn.send_continue(head).and_then(|()| conn.receive_body(head.framing));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use elderstage::settings::SettingNames;
@@ -114,6 +114,8 @@
     has_server_list: AtomicBool,
     /// The node shuts down: connections are closed after their response.
     is_closing: AtomicBool,
+    /// When the node must have answered all requests, once it shuts down.
+    shutdown_end: OnceLock<Instant>,
     /// Number of open requests.
     open_requests: AtomicUsize,
     /// Number of releases that no engine has confirmed yet.
@@ -190,6 +192,7 @@
         is_ready: AtomicBool::new(false),
         has_server_list: AtomicBool::new(false),
         is_closing: AtomicBool::new(false),
+        shutdown_end: OnceLock::new(),
         open_requests: AtomicUsize::new(0),
         pending_releases: AtomicUsize::new(0),
         discovery: Mutex::new((start.discovery, 0)),
@@ -267,6 +270,7 @@
                     after_sigterm.saturating_sub(at.elapsed() + KILL_MARGIN).as_micros() as u64
                 };
                 let (within, late_after) = (time_left(time_until_kill), time_left(ALLOWED_UNDER_WAY));
+                shared.shutdown_end.get_or_init(|| at + time_until_kill.saturating_sub(KILL_MARGIN));
                 shared.submit(Event::HubInput(Input::ShuttingDown { within, late_after }));
                 tracing::info!(target: "node", after_ms = at.elapsed().as_millis() as u64, "no longer accepts connections");
             }
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -146,6 +146,12 @@
         && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.~".contains(&b))
 }
 
+/// Parses the time that the client still waits, in microseconds, at most `longest_wait`.
+pub fn parse_time_left(head: &Request, longest_wait: Time) -> Result<Time, Refusal> {
+    let value = single_value(head, DEADLINE_HEADER)?.ok_or(Refusal::Missing(DEADLINE_HEADER))?;
+    Ok(parse_number(value, DEADLINE_HEADER)?.saturating_mul(US_PER_MS).min(longest_wait))
+}
+
 impl ClientRequest {
     /// Parses the head of a chat request. `body` is the length of the body in bytes. The time left is at most `longest_wait`,
     /// the longest time that any client waits.
@@ -162,11 +168,7 @@
         }
         let class = single_value(head, CLASS_HEADER)?.ok_or(Refusal::Missing(CLASS_HEADER))?;
         let class = names.classes.iter().position(|name| name == class).ok_or(Refusal::Class)?;
-        let left = parse_number(
-            single_value(head, DEADLINE_HEADER)?.ok_or(Refusal::Missing(DEADLINE_HEADER))?,
-            DEADLINE_HEADER,
-        )?;
-        let time_left = left.saturating_mul(US_PER_MS).min(longest_wait);
+        let time_left = parse_time_left(head, longest_wait)?;
         let tenant = match single_value(head, TENANT_HEADER)? {
             Some(name) if !names.tenants.is_empty() => names
                 .tenants
