--- a/src/policy/shutdown.rs
+++ b/src/policy/shutdown.rs
@@ -61,13 +61,12 @@
     }
 
     /// Before this front ends, moves the streams that would be cut, one after the other over the remaining
-    /// time. Otherwise all their clients would come back at once, which no reader can serve. What is left at
-    /// the end is ended then.
+    /// time. Otherwise all their clients would come back at once, which no reader can serve. Streams that must
+    /// have ended before the kill are ended at the latest when the shutdown's time is up.
     pub(super) fn end_streams_for_shutdown(&mut self, now: Time, actions: &mut Vec<Action>) {
         let Some(shutdown) = self.shutdown else { return };
         if now >= shutdown.end {
-            self.end_remaining_streams(actions);
-            return;
+            self.end_late_streams(actions);
         }
         if !self.settings.may_resume || now < shutdown.next_move {
             return;
@@ -100,13 +99,11 @@
         Some(if predicted_end < now { Time::MAX } else { predicted_end })
     }
 
-    /// Ends all streams that can go on elsewhere, and those that may not be under way when this front is
-    /// killed: their writers hang or are far slower than the target.
-    fn end_remaining_streams(&mut self, actions: &mut Vec<Action>) {
-        let may_resume = self.settings.may_resume;
+    /// Ends all streams that may not be under way when this front is killed, whether or not they can go on
+    /// elsewhere: their writers hang or are far slower than the target.
+    fn end_late_streams(&mut self, actions: &mut Vec<Action>) {
         for (id, request) in &mut self.requests {
-            let is_to_end = may_resume || request.must_end_before_kill;
-            if request.is_streaming && !request.is_settled && is_to_end {
+            if request.is_streaming && !request.is_settled && request.must_end_before_kill {
                 request.is_settled = true;
                 actions.push(Action::Move { id: *id });
             }
