--- a/src/policy/shutdown.rs
+++ b/src/policy/shutdown.rs
@@ -87,7 +87,8 @@
         }
     }
 
-    /// When a stream ends at the nominal pace. A stream past that time is at a slow writer: its end is unknown.
+    /// When a stream ends at the nominal pace. A stream past that time is at a slow writer: its end is
+    /// unknown.
     fn predicted_stream_end(&self, id: RequestId, request: &Request, now: Time) -> Option<Time> {
         let (server, _) = request.in_flight.as_ref()?;
         let attempt = self.views.get(server)?.attempts.get(&id)?;
