--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -168,8 +168,8 @@
         }
     }
 
-    /// Periodic work: repeats a failed call for the list, ends streams before this front does, releases overdue
-    /// KV states and ends holds that took too long.
+    /// Periodic work: repeats a failed call for the list, ends streams before this front does, releases
+    /// overdue KV states and ends holds that took too long.
     pub(super) fn sweep(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.is_sweep_scheduled = false;
         if self.subscribe_retry_at.is_some_and(|at| now >= at) {
--- a/src/policy/shutdown.rs
+++ b/src/policy/shutdown.rs
@@ -50,8 +50,8 @@
         client_deadline.min(shutdown.end.saturating_sub(stream_time))
     }
 
-    /// The time that a stream may take from its first token on: all tokens that it may have, at a pace that is
-    /// slower than the target. Without a limit or a target nothing bounds it.
+    /// The time that a stream may take from its first token on: all tokens that it may have, at a pace that
+    /// is slower than the target. Without a limit or a target nothing bounds it.
     fn longest_stream_time(&self, arrival: &Arrival) -> Time {
         let tpot_target = self.settings.classes.get(arrival.class).map_or(0.0, |class| class.tpot_target);
         if arrival.max_output_tokens <= 0.0 || tpot_target <= 0.0 {
@@ -61,8 +61,8 @@
     }
 
     /// Before this front ends, moves the streams that would be cut, one after the other over the remaining
-    /// time. Otherwise all their clients would come back at once, which no reader can serve. Streams that must
-    /// have ended before the kill are ended at the latest when the shutdown's time is up.
+    /// time. Otherwise all their clients would come back at once, which no reader can serve. Streams that
+    /// must have ended before the kill are ended at the latest when the shutdown's time is up.
     pub(super) fn end_streams_for_shutdown(&mut self, now: Time, actions: &mut Vec<Action>) {
         let Some(shutdown) = self.shutdown else { return };
         if now >= shutdown.end {
