--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -431,25 +431,25 @@
 pub struct Discovery {
     pub addr: SocketAddr,
     state: Arc<(Mutex<(u64, Vec<String>)>, Condvar)>,
-    /// Time until the head of an answer, in milliseconds.
-    pub head_ms: Arc<AtomicU64>,
+    /// Time for which the first list of a watch is on its way, in pieces, in milliseconds. The head comes at once.
+    pub list_ms: Arc<AtomicU64>,
     /// When a whole list was written to the front node, in microseconds of the record; 0 for never.
     pub told: Arc<Mutex<Vec<(u64, Instant)>>>,
 }
 
-pub fn start_discovery(rec: &Arc<Rec>, seq: u64, hosts: Vec<String>, head_ms: u64) -> Discovery {
+pub fn start_discovery(rec: &Arc<Rec>, seq: u64, hosts: Vec<String>, list_ms: u64) -> Discovery {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     let state = Arc::new((Mutex::new((seq, hosts)), Condvar::new()));
-    let head_ms = Arc::new(AtomicU64::new(head_ms));
+    let list_ms = Arc::new(AtomicU64::new(list_ms));
     let told = Arc::new(Mutex::new(Vec::new()));
-    let discovery = Discovery { addr, state: state.clone(), head_ms: head_ms.clone(), told: told.clone() };
+    let discovery = Discovery { addr, state: state.clone(), list_ms: list_ms.clone(), told: told.clone() };
     let rec = rec.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (state, head_ms, told, rec) = (state.clone(), head_ms.clone(), told.clone(), rec.clone());
+            let (state, list_ms, told, rec) = (state.clone(), list_ms.clone(), told.clone(), rec.clone());
             thread::spawn(move || {
-                let _ = serve_watch(&rec, &state, &head_ms, &told, stream);
+                let _ = serve_watch(&rec, &state, &list_ms, &told, stream);
             });
         }
     });
@@ -459,7 +459,7 @@
 fn serve_watch(
     rec: &Rec,
     state: &(Mutex<(u64, Vec<String>)>, Condvar),
-    head_ms: &AtomicU64,
+    list_ms: &AtomicU64,
     told: &Mutex<Vec<(u64, Instant)>>,
     stream: TcpStream,
 ) -> io::Result<()> {
@@ -467,10 +467,6 @@
     let mut from = BufReader::new(stream);
     let Some(req) = read_request(&mut from)? else { return Ok(()) };
     rec.log(format!("discovery got {}", req.target));
-    let wait = head_ms.load(Ordering::SeqCst);
-    if wait > 0 {
-        thread::sleep(ms(wait));
-    }
     let mut seen;
     let text;
     {
@@ -479,7 +475,8 @@
         text = list(now.0, true, &now.1);
     }
     let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
-    let written = out.write_all(head.as_bytes()).and_then(|()| chunk(&mut out, &format!("{text}\n")));
+    out.write_all(head.as_bytes())?;
+    let written = chunk_in_pieces(&mut out, &format!("{text}\n"), list_ms.load(Ordering::SeqCst));
     rec.log(format!("discovery wrote list {seen}: {}", if written.is_ok() { "ok" } else { "the watch was closed" }));
     written?;
     told.lock().unwrap().push((seen, Instant::now()));
@@ -498,6 +495,22 @@
     }
 }
 
+/// Writes a text as chunks, in twelve pieces over this time; at once if it is 0.
+fn chunk_in_pieces(out: &mut TcpStream, text: &str, time_ms: u64) -> io::Result<()> {
+    if time_ms == 0 {
+        return chunk(out, text);
+    }
+    let pieces = 12;
+    let size = text.len().div_ceil(pieces);
+    for (n, piece) in text.as_bytes().chunks(size).enumerate() {
+        if n > 0 {
+            thread::sleep(ms(time_ms / (pieces as u64 - 1)));
+        }
+        chunk(out, std::str::from_utf8(piece).unwrap())?;
+    }
+    Ok(())
+}
+
 impl Discovery {
     pub fn set(&self, seq: u64, hosts: Vec<String>) {
         *self.state.0.lock().unwrap() = (seq, hosts);
