--- a/review/lib-2/mcp.rs
+++ b/review/lib-2/mcp.rs
@@ -51,6 +51,8 @@
 pub enum Turn {
     /// Runs, waits, and streams this text.
     Text { first_ms: u64, text: String },
+    /// Like `Text`, and the same answer once more, some milliseconds behind the first.
+    TextTwice { first_ms: u64, text: String, late_ms: u64 },
     /// Calls a tool with these arguments (JSON text).
     Call { tool: String, arguments: String },
     /// Runs, and the process dies before it answers: this connection and all others break, new ones are refused
@@ -175,6 +177,7 @@
                 state.keys.lock().unwrap().insert(key.clone(), format!("done: {prompt}"));
             }
         }
+        let late_ms = if let Turn::TextTwice { late_ms, .. } = &turn { Some(*late_ms) } else { None };
         let events = match turn {
             Turn::RunAndDie { down_ms } => {
                 state.rec.log(format!("engine dies with <<{prompt}>> unanswered"));
@@ -184,7 +187,7 @@
                 }
                 return Ok(());
             }
-            Turn::Text { first_ms, text } => {
+            Turn::Text { first_ms, text } | Turn::TextTwice { first_ms, text, .. } => {
                 thread::sleep(ms(first_ms));
                 let text = text.replace('"', "'");
                 format!(
@@ -206,13 +209,21 @@
             }
         };
         let events = format!("{events}data: {{\"choices\":[],\"usage\":{{\"prompt_tokens\":50,\"completion_tokens\":5}}}}\n\ndata: [DONE]\n\n");
-        let written = out.write_all(
-            format!(
-                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{events}\r\n0\r\n\r\n",
-                events.len()
-            )
-            .as_bytes(),
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{events}\r\n0\r\n\r\n",
+            events.len()
         );
+        let written = out.write_all(answer.as_bytes());
+        if let Some(late_ms) = late_ms {
+            // Whole answers are written by one call each, so that they do not mix.
+            let (mut out, rec, prompt) = (out.try_clone()?, state.rec.clone(), prompt.clone());
+            thread::spawn(move || {
+                thread::sleep(ms(late_ms));
+                let written = out.write_all(answer.as_bytes());
+                let how = if written.is_ok() { "written" } else { "nobody there" };
+                rec.log(format!("engine answered <<{prompt}>> a second time: {how}"));
+            });
+        }
         state.rec.log(format!("engine answered <<{prompt}>>: {}", if written.is_ok() { "written" } else { "nobody there" }));
         written?;
     }
