--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -530,6 +530,8 @@
     pub probes: bool,
     /// `probe` or `answers`.
     pub reports: &'static str,
+    /// Names of the values of a report.
+    pub fields: Vec<&'static str>,
 }
 
 impl Default for Settings {
@@ -546,6 +548,7 @@
             resume: false,
             probes: true,
             reports: "probe",
+            fields: vec!["lat_ms", "x0", "x1"],
         }
     }
 }
@@ -570,7 +573,7 @@
         format!(
             "{{\"me\":0,\"zone\":0,\"n-instances\":1,\"tick-us\":2000,\"discovery\":\"automatic\",\"zones\":[\"here\"],\"skus\":[{kinds}],\"orgs\":[],\"services\":[{services}],\
             \"domain\":{{\"kind-role\":[{roles}],\"tokens-by-kind\":[{tokens}],\"self-prefill\":{},\"resume\":{},\"holds-allowed\":false,\"let-go-by-us\":300000,\"token-aim-us\":[{}],\"aim-us-per-1000-prompt-tokens\":[{}]}},\
-            \"report\":{{\"how\":\"{}\",\"fields\":[\"lat_ms\",\"x0\",\"x1\"]}},\
+            \"report\":{{\"how\":\"{}\",\"fields\":[{}]}},\
             \"limits\":{{\"cancel\":true,\"probes\":{},\"retry-after\":true,\"may-duplicate\":false,\"most-tries\":4,\"connect-timeout-us\":250000,\"max-retry-after-us\":500000,\"idle-close-us\":15000000}},\
             \"obligations\":{{\"answer-slack-us\":8000,\"ask-within-us\":10000000,\"drain-grace-us\":2000000,\"cold-from\":0.28,\"cold-us\":12000000,\"fall-multiple\":4.0,\"tip-after-us\":2000000}}}}",
             self.self_prefill,
@@ -578,6 +581,7 @@
             per_class("60000"),
             per_class("40000"),
             self.reports,
+            quoted(self.fields.iter().map(|field| field.to_string()).collect()),
             self.probes,
         )
     }
@@ -689,6 +693,11 @@
 
 /// A chat request as a client sends it. `bytes` is the least size of its body.
 pub fn chat(id: &str, class: &str, expires_ms: u64, bytes: usize) -> Vec<u8> {
+    chat_with(id, class, expires_ms, bytes, "")
+}
+
+/// The same with further header lines, each with its line end.
+pub fn chat_with(id: &str, class: &str, expires_ms: u64, bytes: usize, headers: &str) -> Vec<u8> {
     let mut content = String::with_capacity(bytes);
     while content.len() < bytes {
         content.push_str("oqvh ");
@@ -697,7 +706,7 @@
         "{{\"model\":\"chat\",\"stream\":true,\"max_tokens\":100,\"messages\":[{{\"role\":\"user\",\"content\":\"{content}\"}}]}}"
     );
     format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\nX-Object: o{id}\r\nX-Expires-In-Ms: {expires_ms}\r\nX-Props: prompt_len={},max_out=100\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\nX-Object: o{id}\r\nX-Expires-In-Ms: {expires_ms}\r\nX-Props: prompt_len={},max_out=100\r\n{headers}Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
         body.len() / 4,
         body.len()
     )
@@ -808,9 +817,22 @@
 
 /// Sends one request on a new connection and reads its answer.
 pub fn ask(rec: &Rec, addr: SocketAddr, id: &str, class: &str, expires_ms: u64, bytes: usize) -> Answer {
-    rec.log(format!("client sends {id} class={class} expires={expires_ms}"));
+    ask_with(rec, addr, id, class, expires_ms, bytes, "")
+}
+
+/// The same with further header lines.
+pub fn ask_with(
+    rec: &Rec,
+    addr: SocketAddr,
+    id: &str,
+    class: &str,
+    expires_ms: u64,
+    bytes: usize,
+    headers: &str,
+) -> Answer {
+    rec.log(format!("client sends {id} class={class} expires={expires_ms} {}", headers.trim_end()));
     let answer = match Client::connect(addr) {
-        Ok(mut client) => match client.send(&chat(id, class, expires_ms, bytes)) {
+        Ok(mut client) => match client.send(&chat_with(id, class, expires_ms, bytes, headers)) {
             Ok(()) => client.answer(ms(expires_ms + 10_000)),
             Err(_) => Answer { closed: true, ..Answer::default() },
         },
--- a/review/lib-2/mcp.rs
+++ b/review/lib-2/mcp.rs
@@ -55,6 +55,8 @@
     TextTwice { first_ms: u64, text: String, late_ms: u64 },
     /// Calls a tool with these arguments (JSON text).
     Call { tool: String, arguments: String },
+    /// Like `Call`, and the same answer once more, some milliseconds behind the first.
+    CallTwice { tool: String, arguments: String, late_ms: u64 },
     /// Runs, and the process dies before it answers: this connection and all others break, new ones are refused
     /// for `down_ms`.
     RunAndDie { down_ms: u64 },
@@ -170,14 +172,17 @@
         if let Some(text) = known {
             state.rec.log(format!("engine drops <<{prompt}>>: a request with key {key:?} has run"));
             turn = Turn::Text { first_ms: 1, text };
-        } else if !matches!(turn, Turn::Call { .. }) {
+        } else if !matches!(turn, Turn::Call { .. } | Turn::CallTwice { .. }) {
             state.runs.lock().unwrap().push((prompt.clone(), key.clone(), Instant::now()));
             state.rec.log(format!("engine runs <<{prompt}>> x-request-id={rid} idempotency-key={key:?}"));
             if !key.is_empty() {
                 state.keys.lock().unwrap().insert(key.clone(), format!("done: {prompt}"));
             }
         }
-        let late_ms = if let Turn::TextTwice { late_ms, .. } = &turn { Some(*late_ms) } else { None };
+        let late_ms = match &turn {
+            Turn::TextTwice { late_ms, .. } | Turn::CallTwice { late_ms, .. } => Some(*late_ms),
+            _ => None,
+        };
         let events = match turn {
             Turn::RunAndDie { down_ms } => {
                 state.rec.log(format!("engine dies with <<{prompt}>> unanswered"));
@@ -194,7 +199,7 @@
                     "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}},\"finish_reason\":null}}]}}\n\ndata: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"\"}},\"finish_reason\":\"stop\"}}]}}\n\n"
                 )
             }
-            Turn::Call { tool, arguments } => {
+            Turn::Call { tool, arguments } | Turn::CallTwice { tool, arguments, .. } => {
                 let arguments = arguments.replace('"', "\\\"");
                 format!(
                     "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"tool_calls\":[{{\"index\":0,\"id\":\"c1\",\"type\":\"function\",\"function\":{{\"name\":\"{tool}\",\"arguments\":\"{arguments}\"}}}}]}},\"finish_reason\":null}}]}}\n\ndata: {{\"choices\":[{{\"index\":0,\"delta\":{{}},\"finish_reason\":\"tool_calls\"}}]}}\n\n"
