Review stand-ins: a record that can't be written does not end a case

Cause: a folder that is not writable would have counted as a case that could not run. Change: the error is printed; the two fronts of case 7 never share an address.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -31,7 +31,10 @@
             engine.addr
         )
     };
-    let (addr1, addr2) = (free_addr(), free_addr());
+    let (addr1, mut addr2) = (free_addr(), free_addr());
+    while addr2 == addr1 {
+        addr2 = free_addr();
+    }
     let first = Front::start(&rec, addr1, &config("n1", addr1));
     let second = Front::start(&rec, addr2, &config("n2", addr2));
     if !first.wait_ready(&rec) || !second.wait_ready(&rec) {
--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -106,7 +106,9 @@
         if let Ok(path) = std::env::var("RECORD") {
             let mut text = self.lines.lock().unwrap().join("\n");
             text.push('\n');
-            std::fs::write(path, text).unwrap();
+            if let Err(error) = std::fs::write(&path, text) {
+                eprintln!("cannot write {path}: {error}");
+            }
         }
     }
 }
