--- a/review/lib-2/common.rs
+++ b/review/lib-2/common.rs
@@ -14,6 +14,25 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
+}
+/// `PR_SET_PDEATHSIG`.
+const SET_PARENT_DEATH_SIGNAL: i32 = 1;
+
+/// The calling process gets SIGKILL when its parent ends, so that nothing is left of a case that is ended from outside.
+fn end_with_parent() {
+    unsafe { prctl(SET_PARENT_DEATH_SIGNAL, SIGKILL as u64) };
+}
+
+/// Makes a program that is about to be started end with this case.
+pub fn ends_with_case(command: &mut Command) -> &mut Command {
+    use std::os::unix::process::CommandExt;
+    unsafe {
+        command.pre_exec(|| {
+            end_with_parent();
+            Ok(())
+        })
+    }
 }
 /// Processes and folders of this case that are still there.
 static STARTED: Mutex<Vec<(i32, PathBuf)>> = Mutex::new(Vec::new());
@@ -47,6 +66,7 @@
 
 /// Ends the case with 2 when it panics or takes longer than 100 s.
 pub fn guard() {
+    end_with_parent();
     let usual = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info| {
         usual(info);
@@ -205,6 +225,8 @@
     pub out: Mutex<HashMap<String, usize>>,
     /// Ids of which a second copy was out, with the engine that got it.
     pub second: Mutex<Vec<(String, String)>>,
+    /// Ids whose stream an engine has written to its last chunk.
+    pub ended: Mutex<Vec<String>>,
     pub hook: Hook,
     /// What a writer sends behind `data: [DONE]` and its empty line, as a chunk of its own.
     pub stream_end: Mutex<String>,
@@ -222,6 +244,7 @@
             released: Mutex::default(),
             out: Mutex::default(),
             second: Mutex::default(),
+            ended: Mutex::default(),
             hook,
             stream_end: Mutex::default(),
             self_prefill,
@@ -358,6 +381,7 @@
                     chunk(&mut out, &end)?;
                 }
                 out.write_all(b"0\r\n\r\n")?;
+                world.ended.lock().unwrap().push(id.clone());
                 world.rec.log(format!("engine {engine} ended the stream of {id}"));
             }
         }
@@ -628,7 +652,7 @@
         if let Ok(level) = std::env::var("NODE_LOG") {
             command = command.replace("info,may=warn", &level);
         }
-        let child = Command::new("/bin/sh")
+        let child = ends_with_case(&mut Command::new("/bin/sh"))
             .args(["-c", &command])
             .env("PROXY_NAME", "n0")
             .env("PROXY_LISTEN", addr.to_string())
--- a/review/lib-2/mcp.rs
+++ b/review/lib-2/mcp.rs
@@ -46,6 +46,9 @@
     Ok(Some(req))
 }
 
+/// How long engines remember a key (`repeat keyed all 5s`).
+pub const KEY_MEMORY: Duration = Duration::from_secs(5);
+
 /// What an engine does with one completion request.
 #[derive(Clone, Debug)]
 pub enum Turn {
@@ -81,8 +84,8 @@
     connections: Mutex<Vec<TcpStream>>,
     down: Mutex<Option<Instant>>,
     hung: Mutex<Option<Instant>>,
-    /// Keys of requests that ran, with the text of their answer.
-    keys: Mutex<HashMap<String, String>>,
+    /// Keys of requests that ran, with the text of their answer and the time. They are remembered for `KEY_MEMORY`.
+    keys: Mutex<HashMap<String, (String, Instant)>>,
 }
 
 impl EngineState {
@@ -168,15 +171,15 @@
         let key = req.header("idempotency-key").unwrap_or("").to_owned();
         state.rec.log(format!("engine got <<{prompt}>> x-request-id={rid} idempotency-key={key:?}"));
         let mut turn = (state.hook)(&req);
-        let known = if key.is_empty() { None } else { state.keys.lock().unwrap().get(&key).cloned() };
-        if let Some(text) = known {
+        let known = state.keys.lock().unwrap().get(&key).filter(|(_, at)| at.elapsed() < KEY_MEMORY).cloned();
+        if let Some((text, _)) = known {
             state.rec.log(format!("engine drops <<{prompt}>>: a request with key {key:?} has run"));
             turn = Turn::Text { first_ms: 1, text };
         } else if !matches!(turn, Turn::Call { .. } | Turn::CallTwice { .. }) {
             state.runs.lock().unwrap().push((prompt.clone(), key.clone(), Instant::now()));
             state.rec.log(format!("engine runs <<{prompt}>> x-request-id={rid} idempotency-key={key:?}"));
             if !key.is_empty() {
-                state.keys.lock().unwrap().insert(key.clone(), format!("done: {prompt}"));
+                state.keys.lock().unwrap().insert(key.clone(), (format!("done: {prompt}"), Instant::now()));
             }
         }
         let late_ms = match &turn {
@@ -325,7 +328,7 @@
         let log = std::fs::File::create(folder.join("log")).unwrap();
         let level = std::env::var("NODE_LOG").unwrap_or_else(|_| "info,may=warn".into());
         // The program and its log level as in the deploy file's `run`; the command as in docs/operators.md.
-        let child = Command::new("target/release/elderstage")
+        let child = crate::common::ends_with_case(&mut Command::new("target/release/elderstage"))
             .args(["--log-level", &level, "serve", "--config"])
             .arg(folder.join("front.conf"))
             .env("TMPDIR", &folder)
