--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -65,8 +65,7 @@
         exit(1);
     }
     if answer.status == 0 {
-        rec.finish("BROKEN: no answer");
-        exit(1);
+        could_not_run(&rec, "no answer: another rule than this case's");
     }
     rec.finish(&format!("held: the order ran {} time(s) and was not refused", runs()));
     exit(0);
