A refusal needs a proof that no attempt ran, also for the attempt in flight

Cause: Chain::is_harmless_to_repeat asked only what ended attempts had shown. An attempt in flight counted as one that had not run; so did a chain that waited for a tool after its first turn; and a keyed request that had run was refused on the router's word, although the key is the front's own and the client's next try gets another one.

Change: the chain remembers that a writer may have run any of its legs; of an attempt in flight at a writer nothing is known (RepeatSafety::Undecided). Who is given up in that state is answered by the end of its attempt, which is cancelled at once: refused if the body was not written (Evidence::Withdrawn), served if the answer was whole, else failed.

--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -2,11 +2,14 @@
 //!
 //! A chain is in one of three phases: a leg is with the router, a tool call is in flight, or the chain has
 //! its final answer. It ends in exactly one [`Final`]. A refusal promises that trying again is harmless. It
-//! is given only while that is known: no tool with an effect may have run, and in a class that is not safe to
-//! repeat no earlier leg was written. Any other end that is not served is a failure, which promises nothing.
+//! is given only with a proof of that: no tool with an effect may have run, and in a class that is not safe to
+//! repeat each attempt at a writer is proved not to have run. An attempt in flight proves nothing yet. Any
+//! other end that is not served is a failure, which promises nothing.
 
 use elderstage::{RepeatPolicy, RequestId, ServerId, Time};
 
+use crate::driver::Stage;
+
 /// Identifies a client's request within one front.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ChainId(pub u64);
@@ -72,19 +75,22 @@
     /// Attempts started; the next attempt gets this number.
     pub attempts: u32,
     /// Server and stage of the attempt in flight.
-    pub in_flight: Option<(ServerId, crate::driver::Stage)>,
+    pub in_flight: Option<(ServerId, Stage)>,
     /// The reader that keeps the KV state for a writer, and the attempt that read it.
     pub kept_state: Option<(ServerId, u32)>,
     /// The first token has arrived.
     pub is_streaming: bool,
-    /// A writer may have started on it.
-    pub may_have_run: bool,
 }
 
 impl Leg {
     /// A leg without attempts.
     pub fn new(id: RequestId) -> Leg {
-        Leg { id, attempts: 0, in_flight: None, kept_state: None, is_streaming: false, may_have_run: false }
+        Leg { id, attempts: 0, in_flight: None, kept_state: None, is_streaming: false }
+    }
+
+    /// Whether an attempt is in flight that may run the request. Reading a prompt has no side effect.
+    fn is_at_writer(&self) -> bool {
+        self.in_flight.as_ref().is_some_and(|(_, stage)| *stage != Stage::Read)
     }
 }
 
@@ -108,6 +114,17 @@
     Tool(PendingToolCall),
 }
 
+/// What is known about a repeat of a whole request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatSafety {
+    /// Proved to be harmless.
+    Harmless,
+    /// A repeat may have an effect for the second time.
+    MayRepeatEffect,
+    /// The attempt in flight decides it by its end: it may run, and nothing else has.
+    Undecided,
+}
+
 /// The state of one client request.
 #[derive(Clone, Debug)]
 pub struct Chain {
@@ -133,35 +150,49 @@
     pub next_call: usize,
     /// A tool with an effect may have run.
     pub may_have_had_effect: bool,
+    /// A writer may have run an attempt of any leg. An attempt in flight counts from its first token on.
+    pub may_have_run: bool,
     /// What the chain waits for.
     pub phase: Phase,
+    /// Why the request was given up, if its final answer depends on the end of the attempt in flight.
+    pub given_up_for: Option<Reason>,
     /// The final answer has been given; the end of an attempt in flight may still be outstanding.
     pub is_answered: bool,
 }
 
 impl Chain {
-    /// Whether repeating the whole request is known to be harmless.
-    pub fn is_harmless_to_repeat(&self, repeat: RepeatPolicy) -> bool {
-        let writer_may_have_run = self.legs > 1 || matches!(&self.phase, Phase::Leg(leg) if leg.may_have_run);
-        !self.may_have_had_effect && (repeat == RepeatPolicy::Safe || !writer_may_have_run)
+    /// What is known about a repeat of the whole request.
+    pub fn repeat_safety(&self, repeat: RepeatPolicy) -> RepeatSafety {
+        if self.may_have_had_effect {
+            return RepeatSafety::MayRepeatEffect;
+        }
+        if repeat == RepeatPolicy::Safe {
+            return RepeatSafety::Harmless;
+        }
+        // A keyed request counts like an unsafe one: the key is this front's own, and the client's next try
+        // gets another one.
+        if self.may_have_run {
+            return RepeatSafety::MayRepeatEffect;
+        }
+        match &self.phase {
+            Phase::Leg(leg) if leg.is_at_writer() => RepeatSafety::Undecided,
+            _ => RepeatSafety::Harmless,
+        }
     }
 
     /// The final answer of the request after the router refused its current leg.
     pub fn final_for_refusal(&self, repeat: RepeatPolicy, retry_after: Time) -> Final {
-        // The router decides for the current leg: it may refuse a keyed one even after it ran.
-        if !self.may_have_had_effect && (repeat == RepeatPolicy::Safe || self.legs <= 1) {
-            Final::Refused { reason: Reason::NoRoom, retry_after }
-        } else {
-            Final::Failed { reason: Reason::MayHaveRun }
+        match self.repeat_safety(repeat) {
+            RepeatSafety::Harmless => Final::Refused { reason: Reason::NoRoom, retry_after },
+            _ => Final::Failed { reason: Reason::MayHaveRun },
         }
     }
 
     /// The final answer of a request that the core ends for `reason`.
     pub fn final_for_end(&self, repeat: RepeatPolicy, reason: Reason, retry_after: Time) -> Final {
-        if self.is_harmless_to_repeat(repeat) {
-            Final::Refused { reason, retry_after }
-        } else {
-            Final::Failed { reason }
+        match self.repeat_safety(repeat) {
+            RepeatSafety::Harmless => Final::Refused { reason, retry_after },
+            _ => Final::Failed { reason },
         }
     }
 }
--- a/crates/core/src/chain/tests.rs
+++ b/crates/core/src/chain/tests.rs
@@ -13,7 +13,10 @@
         calls: Vec::new(),
         next_call: 0,
         may_have_had_effect,
-        phase: Phase::Leg(Leg { may_have_run, ..Leg::new(RequestId(1)) }),
+        // A later leg follows a turn that a writer has served.
+        may_have_run: may_have_run || legs > 1,
+        phase: Phase::Leg(Leg::new(RequestId(1))),
+        given_up_for: None,
         is_answered: false,
     }
 }
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::admission::{self, Rejection};
-use crate::chain::{Chain, ChainId, Final, Leg, PendingToolCall, Phase, Reason};
+use crate::chain::{Chain, ChainId, Final, Leg, PendingToolCall, Phase, Reason, RepeatSafety};
 use crate::estimate::Estimate;
 use crate::evidence::{self, Evidence, ToolEnd};
 use crate::members::Members;
@@ -227,7 +227,7 @@
         while let Some(due) = self.timers.pop_due(now) {
             match due {
                 TimerPurpose::Router(name) => self.notify_router(now, RouterEvent::Timer { name }, effects),
-                TimerPurpose::Chain(chain) => self.end_chain(now, chain, Reason::OutOfTime, effects),
+                TimerPurpose::Chain(chain) => self.give_up(now, chain, Reason::OutOfTime, effects),
             }
         }
     }
@@ -246,7 +246,7 @@
                     self.finish(now, chain, Final::Gone, effects);
                 }
             }
-            Event::TooLong { chain } => self.end_chain(now, chain, Reason::TooLong, effects),
+            Event::TooLong { chain } => self.give_up(now, chain, Reason::TooLong, effects),
             Event::Servers { mode, entries } => {
                 let entries = self.members.apply_list(mode, entries);
                 self.notify_router(now, RouterEvent::Servers { mode, entries }, effects);
@@ -272,7 +272,7 @@
                 let mut remaining: Vec<ChainId> = self.chains.keys().copied().collect();
                 remaining.sort_unstable();
                 for chain in remaining {
-                    self.end_chain(now, chain, Reason::Draining, effects);
+                    self.give_up(now, chain, Reason::Draining, effects);
                 }
             }
         }
@@ -321,7 +321,9 @@
             calls: Vec::new(),
             next_call: 0,
             may_have_had_effect: false,
+            may_have_run: false,
             phase: Phase::Leg(Leg::new(RequestId(0))),
+            given_up_for: None,
             is_answered: false,
         };
         self.chains.insert(chain, new_chain);
@@ -333,7 +335,7 @@
         let Some(chain) = self.chains.get_mut(&id) else { return };
         let route = &self.plan.routes[chain.route];
         if chain.legs >= route.max_legs {
-            return self.end_chain(now, id, Reason::TooManyTurns, effects);
+            return self.give_up(now, id, Reason::TooManyTurns, effects);
         }
         self.last_leg_number = self.last_leg_number.wrapping_add(1);
         let leg = RequestId(self.last_leg_number);
@@ -379,9 +381,9 @@
         let Phase::Leg(current) = &mut chain.phase else { return };
         let Some((server, _)) = current.in_flight.clone().filter(|_| current.id == leg) else { return };
         current.is_streaming = true;
-        current.may_have_run = true;
         // The writer has fetched the state and the reader has released it.
         current.kept_state = None;
+        chain.may_have_run = true;
         if !chain.is_answered {
             self.notify_router(now, RouterEvent::Streaming { id: leg, attempt, server, took }, effects);
         }
@@ -408,9 +410,7 @@
         let (outcome, note) = evidence::classify(stage, &evidence);
         *self.counters.outcomes.entry(outcome_name(outcome)).or_default() += 1;
         let (streamed, turn) = (current.is_streaming, chain.legs);
-        if stage != Stage::Read && !outcome.never_ran() {
-            current.may_have_run = true;
-        }
+        chain.may_have_run |= stage != Stage::Read && !outcome.never_ran();
         if outcome == Outcome::Read {
             current.kept_state = Some((server.clone(), attempt));
         } else if stage == Stage::Read && !outcome.never_ran() {
@@ -427,7 +427,7 @@
         }
         // A stream that breaks after its first token ends the leg, just as a complete stream does.
         let settled = streamed || outcome == Outcome::Served;
-        let is_answered = chain.is_answered;
+        let (is_answered, given_up_for) = (chain.is_answered, chain.given_up_for);
         self.notify_router(
             now,
             RouterEvent::Ended { id: leg, attempt, server, outcome, took, is_settled: settled, note, load },
@@ -436,10 +436,14 @@
         if is_answered {
             return self.remove_if_finished(id, effects);
         }
+        if let Some(reason) = given_up_for {
+            let is_whole_answer = outcome == Outcome::Served && calls.is_empty();
+            return self.finish_given_up(now, id, reason, is_whole_answer, effects);
+        }
         if outcome == Outcome::Served {
             self.turn_ended(now, id, text, &calls, effects);
         } else if settled {
-            self.end_chain(now, id, Reason::StreamBroke, effects);
+            self.give_up(now, id, Reason::StreamBroke, effects);
         }
     }
 
@@ -458,7 +462,7 @@
             return self.finish(now, id, Final::Served, effects);
         }
         if calls.len() > self.plan.limits.max_calls_per_turn {
-            return self.end_chain(now, id, Reason::TooManyTurns, effects);
+            return self.give_up(now, id, Reason::TooManyTurns, effects);
         }
         let route = &self.plan.routes[chain.route];
         let find_tool = |call: &RequestedToolCall| {
@@ -548,7 +552,7 @@
             }
             ToolStep::EndRequest => {
                 self.counters.tool_lost += 1;
-                self.end_chain(now, id, Reason::ToolUnknown, effects);
+                self.give_up(now, id, Reason::ToolUnknown, effects);
             }
         }
     }
@@ -556,10 +560,46 @@
     // ---- Ends ----
 
     /// Ends a request for a reason found by the core, with the final answer that [`Chain::final_for_end`]
-    /// allows.
-    fn end_chain(&mut self, now: Time, id: ChainId, reason: Reason, effects: &mut Vec<Effect>) {
+    /// allows. If the end of the attempt in flight decides which one that is, the attempt is cancelled and the
+    /// answer follows its end.
+    fn give_up(&mut self, now: Time, id: ChainId, reason: Reason, effects: &mut Vec<Effect>) {
         let Some(chain) = self.chains.get(&id).filter(|chain| !chain.is_answered) else { return };
-        let last = chain.final_for_end(self.repeat_policy(chain), reason, self.plan.limits.retry_after);
+        let repeat = self.repeat_policy(chain);
+        if chain.repeat_safety(repeat) == RepeatSafety::Undecided {
+            return self.cancel_undecided(now, id, reason, effects);
+        }
+        let last = chain.final_for_end(repeat, reason, self.plan.limits.retry_after);
+        self.finish(now, id, last, effects);
+    }
+
+    /// Cancels the attempt in flight, whose end decides the final answer. Does nothing the second time.
+    fn cancel_undecided(&mut self, now: Time, id: ChainId, reason: Reason, effects: &mut Vec<Effect>) {
+        let Some(chain) = self.chains.get_mut(&id).filter(|chain| chain.given_up_for.is_none()) else {
+            return;
+        };
+        chain.given_up_for = Some(reason);
+        if let Phase::Leg(leg) = &chain.phase {
+            let leg = leg.id;
+            self.notify_router(now, RouterEvent::ClientGone { id: leg }, effects);
+        }
+    }
+
+    /// Gives the final answer of a request that was given up, after the end of its attempt. An attempt that
+    /// brought the whole answer before the cancellation reached it is served.
+    fn finish_given_up(
+        &mut self,
+        now: Time,
+        id: ChainId,
+        reason: Reason,
+        is_whole_answer: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(chain) = self.chains.get(&id) else { return };
+        let last = if is_whole_answer {
+            Final::Served
+        } else {
+            chain.final_for_end(self.repeat_policy(chain), reason, self.plan.limits.retry_after)
+        };
         self.finish(now, id, last, effects);
     }
 
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -28,8 +28,10 @@
     TimedOut,
     /// The connection broke after the request, or part of it, was written.
     Broke,
-    /// The front ended the attempt because the core told it to.
+    /// The front ended the attempt because the core told it to; the request, or part of it, may be written.
     Cancelled,
+    /// The front ended the attempt because the core told it to, before the request's body was written.
+    Withdrawn,
     /// The front abandoned the attempt because its address no longer delivers anything while another address
     /// of the server works. It says nothing about the server.
     GivenUp,
@@ -43,6 +45,30 @@
     Turn { cached: u64 },
 }
 
+impl Evidence {
+    /// The evidence of an attempt that was cancelled while this was observed of it. What proves that the body
+    /// was not written, and what the engine answered in full, remains; anything else may be the work of the
+    /// cancellation.
+    pub fn of_cancelled(self) -> Evidence {
+        match self {
+            Evidence::NotConnected
+            | Evidence::NotWritten
+            | Evidence::NotProven
+            | Evidence::NoRoom
+            | Evidence::Withdrawn => Evidence::Withdrawn,
+            Evidence::Unsent { .. }
+            | Evidence::Status { .. }
+            | Evidence::Read { .. }
+            | Evidence::Turn { .. } => self,
+            Evidence::TimedOut
+            | Evidence::Broke
+            | Evidence::Cancelled
+            | Evidence::GivenUp
+            | Evidence::Garbled => Evidence::Cancelled,
+        }
+    }
+}
+
 /// Note that goes with [`Outcome::Full`]: there was no KV state to fetch.
 pub const NO_STATE_NOTE: u64 = 1;
 /// Error code of an engine that found no KV state.
@@ -59,6 +85,7 @@
         Evidence::TimedOut => (Outcome::TimedOut, 0),
         Evidence::Broke => (Outcome::Broken, 0),
         Evidence::Cancelled | Evidence::GivenUp => (Outcome::Cancelled, 0),
+        Evidence::Withdrawn => (Outcome::NotSent, 0),
         Evidence::Status { status: 429, .. } => (Outcome::Full, 0),
         Evidence::Status { status: 424, code }
             if stage == Stage::Write && code.as_deref() == Some(NO_STATE_CODE) =>
--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -49,3 +49,34 @@
         assert_eq!(tool_end_from_status(status), None, "{status} proves nothing");
     }
 }
+
+/// Guards against a refusal of an order whose body was written before its attempt was cancelled.
+#[test]
+fn a_cancelled_attempt_never_ran_only_if_its_body_was_not_written() {
+    let may_have_run = |evidence: Evidence| {
+        let (outcome, _) = classify(Stage::Whole, &evidence.of_cancelled());
+        !outcome.never_ran()
+    };
+    for unwritten in [
+        Evidence::NotConnected,
+        Evidence::NotWritten,
+        Evidence::NotProven,
+        Evidence::NoRoom,
+        Evidence::Withdrawn,
+        Evidence::Unsent { status: 503 },
+        Evidence::Status { status: 429, code: None },
+    ] {
+        assert!(!may_have_run(unwritten.clone()), "{unwritten:?}");
+    }
+    for written in [
+        Evidence::TimedOut,
+        Evidence::Broke,
+        Evidence::Cancelled,
+        Evidence::GivenUp,
+        Evidence::Garbled,
+        Evidence::Status { status: 503, code: None },
+        Evidence::Turn { cached: 0 },
+    ] {
+        assert!(may_have_run(written.clone()), "{written:?}");
+    }
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -3,13 +3,13 @@
 #![allow(dead_code)]
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use elderstage::{
     ListMode, RepeatPolicy, RequestId, ServerEntry, ServerId, ServerStatus, Settings, Time, example_settings,
 };
 use elderstage_core::chain::Final;
-use elderstage_core::evidence::{Evidence, ToolEnd};
+use elderstage_core::evidence::{Evidence, ToolEnd, classify};
 use elderstage_core::{
     ChainId, ClassPlan, Core, Effect, Event, Limits, NewRequest, Plan, RequestedToolCall, RoutePlan, Stage,
     ToolPlan,
@@ -28,6 +28,16 @@
     Hang,
 }
 
+/// An attempt that was sent.
+#[derive(Clone, Copy, Debug)]
+struct InFlightAttempt {
+    leg: RequestId,
+    stage: Stage,
+    written_at: Time,
+    /// Number of the event that ends it.
+    end_event: u64,
+}
+
 pub struct World {
     pub core: Core,
     pub now: Time,
@@ -40,7 +50,11 @@
     pub reads: Vec<Script>,
     pub writes: Vec<Script>,
     pub tools: Vec<(Time, ToolEnd)>,
-    in_flight: BTreeMap<(ChainId, u32, u32), (RequestId, u64)>,
+    in_flight: BTreeMap<(ChainId, u32, u32), InFlightAttempt>,
+    /// Time from a send to a writer until the request is written. An attempt that is cancelled before did not run.
+    pub write_delay: Time,
+    /// The attempts at writers that may have run, whatever the core knows of them.
+    possible_runs: BTreeSet<(ChainId, u32, u32)>,
     kept_states: BTreeMap<(ChainId, u32), Time>,
     last_tool_ends: BTreeMap<ChainId, ToolEnd>,
     /// Longest time that a reader kept a state before a writer was sent for it or it was released.
@@ -98,6 +112,8 @@
             writes: vec![Script::Stream(10 * MS, 200 * MS, Evidence::Turn { cached: 0 }, Vec::new())],
             tools: vec![(30 * MS, ToolEnd::Result { bytes: 20 })],
             in_flight: BTreeMap::new(),
+            write_delay: 0,
+            possible_runs: BTreeSet::new(),
             kept_states: BTreeMap::new(),
             last_tool_ends: BTreeMap::new(),
             longest_state_wait: 0,
@@ -144,7 +160,6 @@
     }
 
     fn attempt_ended(
-        &self,
         chain: ChainId,
         leg: RequestId,
         attempt: u32,
@@ -173,30 +188,52 @@
                     } else {
                         next_script(&mut self.writes)
                     };
-                    let end_event = match script {
+                    let key = (chain, turn, attempt);
+                    let delay = if stage == Stage::Read { 0 } else { self.write_delay };
+                    let end = |evidence: Evidence, after, calls: &[&str]| {
+                        Self::attempt_ended(chain, leg, attempt, evidence, after, calls)
+                    };
+                    let (last_evidence, end_event) = match script {
+                        _ if delay >= timeout => {
+                            let evidence = Evidence::NotWritten;
+                            (evidence.clone(), self.schedule(timeout, end(evidence, timeout, &[])))
+                        }
                         Script::End(after, evidence) => {
-                            let after = after.min(timeout);
-                            let event = self.attempt_ended(chain, leg, attempt, evidence, after, &[]);
-                            self.schedule(after, event)
+                            let after = (after + delay).min(timeout);
+                            (evidence.clone(), self.schedule(after, end(evidence, after, &[])))
                         }
-                        Script::Stream(first, end, evidence, calls) => {
+                        Script::Stream(first, after, evidence, calls) => {
+                            let (first, after) = (first + delay, after + delay);
                             self.schedule(first, Event::Streaming { chain, leg, attempt, took: first });
-                            let event = self.attempt_ended(chain, leg, attempt, evidence, end, &calls);
-                            self.schedule(end, event)
+                            (evidence.clone(), self.schedule(after, end(evidence, after, &calls)))
                         }
                         Script::Hang => {
-                            let event =
-                                self.attempt_ended(chain, leg, attempt, Evidence::TimedOut, timeout, &[]);
-                            self.schedule(timeout, event)
+                            let evidence = Evidence::TimedOut;
+                            (evidence.clone(), self.schedule(timeout, end(evidence, timeout, &[])))
                         }
                     };
-                    self.in_flight.insert((chain, turn, attempt), (leg, end_event));
+                    if stage != Stage::Read && !classify(stage, &last_evidence).0.never_ran() {
+                        self.possible_runs.insert(key);
+                    }
+                    let written_at = self.now + delay;
+                    self.in_flight.insert(key, InFlightAttempt { leg, stage, written_at, end_event });
                 }
                 Effect::Cancel { chain, turn, attempt } => {
-                    if let Some((leg, end_event)) = self.in_flight.get(&(chain, turn, attempt)).copied()
+                    let key = (chain, turn, attempt);
+                    if let Some(InFlightAttempt { leg, stage, written_at, end_event }) =
+                        self.in_flight.get(&key).copied()
                         && self.events.remove(&end_event).is_some()
                     {
-                        let event = self.attempt_ended(chain, leg, attempt, Evidence::Cancelled, 0, &[]);
+                        let evidence = if self.now < written_at {
+                            self.possible_runs.remove(&key);
+                            Evidence::Withdrawn
+                        } else {
+                            if stage != Stage::Read {
+                                self.possible_runs.insert(key);
+                            }
+                            Evidence::Cancelled
+                        };
+                        let event = Self::attempt_ended(chain, leg, attempt, evidence, 0, &[]);
                         self.schedule(MS, event);
                     }
                 }
@@ -275,6 +312,43 @@
         finals[0]
     }
 
+    /// Whether a writer may have run an attempt of this request, whatever the core knows of it.
+    pub fn may_have_run(&self, chain: u64) -> bool {
+        self.possible_runs.iter().any(|(id, ..)| *id == ChainId(chain))
+    }
+
+    /// The stage of the request's attempt in flight.
+    pub fn stage_in_flight(&self, chain: u64) -> Option<Stage> {
+        let mut attempts = self.in_flight.iter().filter(|((id, ..), _)| *id == ChainId(chain));
+        attempts
+            .find(|(_, attempt)| self.events.contains_key(&attempt.end_event))
+            .map(|(_, attempt)| attempt.stage)
+    }
+
+    /// The leg and number of the request's attempt in flight.
+    pub fn attempt_in_flight(&self, chain: u64) -> Option<(RequestId, u32)> {
+        let mut attempts = self.in_flight.iter().filter(|((id, ..), _)| *id == ChainId(chain));
+        let ((.., number), attempt) =
+            attempts.find(|(_, attempt)| self.events.contains_key(&attempt.end_event))?;
+        Some((attempt.leg, *number))
+    }
+
+    /// Lets the timers that are due within `span` fire before anything else that happens in it.
+    pub fn fire_timers_first(&mut self, span: Time) {
+        self.now += span;
+        let mut effects = Vec::new();
+        self.core.handle_timers(self.now, &mut effects);
+        self.apply_effects(effects);
+    }
+
+    /// Ends the attempt in flight with a whole turn that makes `calls`.
+    pub fn end_turn(&mut self, chain: u64, calls: &[&str]) {
+        let (leg, attempt) = self.attempt_in_flight(chain).expect("an attempt is in flight");
+        let evidence = Evidence::Turn { cached: 0 };
+        let event = Self::attempt_ended(ChainId(chain), leg, attempt, evidence, MS, calls);
+        self.handle_event(event);
+    }
+
     pub fn sends(&self, wanted: Stage) -> usize {
         self.count(|effect| matches!(effect, Effect::Send { stage, .. } if *stage == wanted))
     }
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -69,11 +69,11 @@
     let (operation, slot) = (attempt.operation, attempt.slot);
     if !slot.begin(operation) {
         slot.end(operation);
-        return AttemptOutcome::from_evidence(Evidence::Cancelled);
+        return AttemptOutcome::from_evidence(Evidence::Withdrawn);
     }
     let mut outcome = connect_and_send(shared, attempt, sink);
-    if slot.end(operation) && !matches!(outcome.evidence, Evidence::Read { .. } | Evidence::Turn { .. }) {
-        outcome.evidence = Evidence::Cancelled;
+    if slot.end(operation) {
+        outcome.evidence = outcome.evidence.of_cancelled();
     }
     outcome
 }
@@ -116,10 +116,10 @@
         ConnectOutcome::Answered(status) => {
             return AttemptOutcome::from_evidence(Evidence::Unsent { status });
         }
-        ConnectOutcome::Cancelled => return AttemptOutcome::from_evidence(Evidence::Cancelled),
+        ConnectOutcome::Cancelled => return AttemptOutcome::from_evidence(Evidence::Withdrawn),
     };
     if !attempt.slot.set_connected(attempt.operation, pooled.conn.socket()) {
-        return AttemptOutcome::from_evidence(Evidence::Cancelled);
+        return AttemptOutcome::from_evidence(Evidence::Withdrawn);
     }
     if Instant::now() >= deadline {
         return AttemptOutcome::from_evidence(Evidence::NotWritten);
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use crossbeam_channel::{Receiver, unbounded};
 use elderstage_front::{Front, Status};
 use elderstage_net::{Conn, EndpointPath, NetError, connect, send};
 use elderstage_protocol::http::BodyDecoder;
@@ -16,7 +17,7 @@
 use elderstage_rehearsal::play::rule_limits;
 use elderstage_rehearsal::rules::{RuleLimits, check_rules};
 use elderstage_standin::host::AddressFault;
-use elderstage_standin::traffic::{Log, LogWriter, Record};
+use elderstage_standin::traffic::{Log, LogWriter, Record, TrafficEvent};
 use serde_json::{Value, json};
 
 /// Longest wait in a test. It is far longer than any wait takes, so that a busy machine does not make a test fail.
@@ -30,6 +31,8 @@
     pub dir: PathBuf,
     rule_limits: RuleLimits,
     writer: Option<LogWriter>,
+    /// The traffic as it happens.
+    records_seen: Receiver<Record>,
 }
 
 /// Creates an empty directory for one test.
@@ -59,7 +62,8 @@
         let mut site = demo_site();
         change(&mut site);
         site.extra_directives.push_str(&format!("rules {{\n{rules}\n}}\n"));
-        let (log, writer) = Log::start(None, None).unwrap();
+        let (record_sender, records_seen) = unbounded();
+        let (log, writer) = Log::start(None, Some(record_sender)).unwrap();
         let fleet = Fleet::start(site, &log).unwrap();
         let dir = create_temp_dir();
         std::fs::write(dir.join("servers.conf"), fleet.server_list_text(&fleet.initial_states)).unwrap();
@@ -70,7 +74,7 @@
         let rule_limits = rule_limits(&config);
         let front = Front::start(config, &dir, 1).unwrap();
         let addr = front.addr();
-        TestCluster { fleet, front: Some(front), addr, dir, rule_limits, writer: Some(writer) }
+        TestCluster { fleet, front: Some(front), addr, dir, rule_limits, writer: Some(writer), records_seen }
     }
 
     /// Starts a front with the demo's fleet as it is.
@@ -99,6 +103,18 @@
         }
     }
 
+    /// Waits until the traffic has an event that meets the condition.
+    pub fn wait_for_event(&self, what: &str, is_match: impl Fn(&TrafficEvent) -> bool) {
+        let deadline = Instant::now() + MAX_WAIT;
+        loop {
+            match self.records_seen.recv_deadline(deadline) {
+                Ok(record) if is_match(&record.what) => return,
+                Ok(_) => {}
+                Err(error) => panic!("no event: {what}: {error}"),
+            }
+        }
+    }
+
     /// Stops everything and returns the traffic records. Fails if a rule of the rehearsal is broken.
     pub fn finish_and_check(mut self) -> Vec<Record> {
         self.wait_until("no request left", |status| status.held == 0);
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -7,8 +7,10 @@
 
 use common::{Call, CallEnd, MAX_WAIT, TestCluster, call_body};
 use elderstage_net::{Conn, connect};
+use elderstage_protocol::place::AddressFamily;
 use elderstage_protocol::{http, mcp};
-use elderstage_standin::host::{Control, SocketFaults};
+use elderstage_rehearsal::fleet::Site;
+use elderstage_standin::host::{AddressFault, Control, SocketFaults};
 use elderstage_standin::model::EngineFault;
 use elderstage_standin::tool::ToolFault;
 use elderstage_standin::traffic::{Record, TrafficEvent};
@@ -225,6 +227,42 @@
     cluster.fleet.stop();
 }
 
+/// Guards against a client that is told to try an order again which an engine runs, when the drain ends before the
+/// order (`review/7`), and against a failure of one that no engine has.
+#[test]
+fn an_order_that_ends_with_the_drain_is_failed_if_an_engine_has_it_and_refused_if_none_has() {
+    for is_second_signal in [false, true] {
+        for (fault, is_sent) in [(AddressFault::None, true), (AddressFault::Silent, false)] {
+            let drain = if is_second_signal { "drain 30s" } else { "drain 300ms" };
+            let only_mixed = |site: &mut Site| site.engines.retain(|engine| engine.name == "m1");
+            let mut cluster = TestCluster::start(only_mixed, drain, "");
+            cluster.control("m1", Control::EngineFault(Some(EngineFault::Hang)));
+            cluster.set_fault(Some("m1"), AddressFamily::V4, fault);
+            let mut order = cluster.call("order", ORDER);
+            if is_sent {
+                let is_write = |seen: &TrafficEvent| matches!(seen, TrafficEvent::Received { task, .. } if task != "read");
+                cluster.wait_for_event("the engine has the order", is_write);
+            } else {
+                cluster.wait_until("attempt started", |status| status.counters.attempts >= 1);
+            }
+            let mut ask = cluster.call("ask", "Hello.");
+            cluster.wait_until("both accepted", |status| status.held == 2);
+            let front = cluster.front.take().unwrap();
+            let ended_by_themselves = front.finish(&AtomicBool::new(is_second_signal));
+            let case = format!("{fault:?}, second signal: {is_second_signal}");
+            assert!(!ended_by_themselves, "{case}");
+            assert!(matches!(ask.wait_for_end(), CallEnd::Refused { .. }), "{case}");
+            let end = order.wait_for_end();
+            if is_sent {
+                assert!(matches!(end, CallEnd::Failed(_)), "{case}: {end:?}");
+            } else {
+                assert!(matches!(end, CallEnd::Refused { .. }), "{case}: {end:?}");
+            }
+            cluster.fleet.stop();
+        }
+    }
+}
+
 #[test]
 fn requests_that_outlast_the_drain_are_refused_or_failed_by_their_effect() {
     let mut cluster = TestCluster::start(|_| {}, "drain 300ms", "");
