A rehearsal whose drains end before its requests, and its rule for keyed classes

The front's own test of a drain's end waited until both requests streamed.

Scripts may set the drain's time (`drain 400ms`; 10 s as before without it). rehearsals/short-drains ends drains, one of them by a second signal, while requests of four classes are at writers that hang, at readers, at a slow tool, in slow streams and before connections that are never made. The checker reports a refusal after a possible run for keyed classes, too, with a trace for each class.

--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -217,3 +217,15 @@
         }
     }
 }
+
+/// Drains end before their requests do. Guards against fronts that refuse what runs at an engine: its client tries again
+/// and the order runs twice (`review/7`).
+#[test]
+fn shortened_day_of_short_drains_breaks_no_rule() {
+    let report = rehearse("short-drains", "1200");
+    for route in ["order", "booking"] {
+        for end in ["served", "refused", "failed"] {
+            assert!(report["routes"][route][end].as_u64().unwrap() > 0, "{report}");
+        }
+    }
+}
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -17,6 +17,8 @@
 
 /// Shortest period of a flapping fault. A listener takes some milliseconds to close and to open again.
 const MIN_FLAP_PERIOD_US: u64 = 50_000;
+/// Time that a front has to end its requests when it is told to drain, if the script does not set it.
+const DEFAULT_DRAIN_TIMEOUT_US: u64 = 10_000_000;
 
 /// A change to the fleet or a front. Its `Debug` form is written into the traffic log, so the names of variants and
 /// fields are part of that format.
@@ -79,7 +81,7 @@
     ToolStart,
     /// Sets the state of a server in the server list: running, draining or gone.
     List(String, &'static str),
-    /// A front is told to drain (SIGTERM).
+    /// A front is told to drain (SIGTERM). A front that drains already ends its requests at once.
     FrontTerm(String),
     /// A front is killed (SIGKILL).
     FrontKill(String),
@@ -159,6 +161,8 @@
     pub site: Site,
     /// The fronts to start.
     pub fronts: Vec<Front>,
+    /// Time in microseconds that a front has to end its requests when it is told to drain.
+    pub drain_timeout_us: u64,
     /// The clients' requests.
     pub load: Load,
     /// Largest number of requests that may end with each outcome.
@@ -509,6 +513,7 @@
     let (mut kinds, mut engines, mut fronts) = (Vec::<Kind>::new(), Vec::new(), Vec::new());
     let (mut extra_directives, mut load, mut steps) = (String::new(), None, Vec::new());
     let mut outcome_limits = Vec::new();
+    let mut drain_timeout_us = DEFAULT_DRAIN_TIMEOUT_US;
     let mut link_tokens_per_s = [300_000.0, 150_000.0, 60_000.0];
     for directive in &all {
         match directive.name.as_str() {
@@ -531,6 +536,7 @@
                 }
             }
             "front" => fronts.push(Front { name: p.word(directive, 0), zone: p.word(directive, 1) }),
+            "drain" => drain_timeout_us = p.time(directive, 0),
             "rules" | "class" | "route" => write_directive(directive, &mut extra_directives),
             "load" => load = Some(p.load(directive)),
             "expect" => outcome_limits.extend(p.expect(directive)),
@@ -567,6 +573,7 @@
             seed,
             site: Site { zones, kinds, engines, extra_directives, link_tokens_per_s },
             fronts,
+            drain_timeout_us,
             load,
             outcome_limits,
             steps,
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -90,6 +90,7 @@
     dir: PathBuf,
     program: PathBuf,
     fronts: Vec<Front>,
+    drain_timeout_us: u64,
     running: Mutex<Vec<FrontProcess>>,
     /// How many engines are still to be killed after a tool call.
     kill_after_tool: AtomicU32,
@@ -116,6 +117,7 @@
         dir: options.dir.to_owned(),
         program: options.program.to_owned(),
         fronts: day.fronts.clone(),
+        drain_timeout_us: day.drain_timeout_us,
         running: Mutex::default(),
         kill_after_tool: AtomicU32::new(0),
         is_clean: AtomicBool::new(true),
@@ -257,9 +259,10 @@
     fn start_front(&self, number: usize, front: &Front) -> Result<FrontTarget, PlayError> {
         let name = &front.name;
         let section = format!(
-            "    listen 127.0.0.1:0\n    name {name}\n    zone {}\n    number {number}\n    fronts {}\n    drain 10s",
+            "    listen 127.0.0.1:0\n    name {name}\n    zone {}\n    number {number}\n    fronts {}\n    drain {}us",
             front.zone,
-            self.fronts.len()
+            self.fronts.len(),
+            self.drain_timeout_us
         );
         let path = self.dir.join(format!("{name}.conf"));
         std::fs::write(&path, self.fleet.front_config_text(&section, "servers.conf"))
--- a/crates/rehearsal/src/rules/effects.rs
+++ b/crates/rehearsal/src/rules/effects.rs
@@ -1,7 +1,8 @@
 //! Checks that no effect happens twice, and that a request is refused only where the client can safely send it again.
 //!
 //! A request of an unsafe class must not be sent to a writer again after an attempt that may have run. A keyed one
-//! may be, as long as the engines still remember its key. Tool calls with an effect are never repeated unless the
+//! may be, as long as the engines still remember its key; it is not refused either, since a client's next try has
+//! another key. Tool calls with an effect are never repeated unless the
 //! tool server proves that the call did not run.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -96,7 +97,8 @@
             }
         }
         let request_id = client_request_id(turn_id);
-        if policy == RepeatPolicy::Unsafe
+        // The engines would not know the client's next try by its key, which the front makes anew.
+        if policy != RepeatPolicy::Safe
             && may_have_run_at.is_some()
             && let Some(at) = refused_at.get(request_id)
         {
--- a/crates/rehearsal/tests/checker.rs
+++ b/crates/rehearsal/tests/checker.rs
@@ -145,6 +145,26 @@
     assert_no_violation(&[&first[..], &full, &again].concat());
 }
 
+/// Guards against refusals of what may have run, whose clients try again with another key.
+#[test]
+fn a_refusal_after_a_possible_run_is_reported_for_all_but_safe_classes() {
+    let trace = |class, how: &str, outcome| {
+        let ended = answered(20, "w1", "c1/1/1", how);
+        [
+            sent(0, "c1", class),
+            received(10, "w1", "c1/1/1", "write", 0.0),
+            ended,
+            final_answer(50, "c1", outcome),
+        ]
+    };
+    for class in ["order", "keyed"] {
+        assert_breaks_only(&trace(class, "left", "refused"), "no effect twice", "an attempt may have run");
+        assert_no_violation(&trace(class, "full", "refused"));
+        assert_no_violation(&trace(class, "left", "failed"));
+    }
+    assert_no_violation(&trace("ask", "left", "refused"));
+}
+
 /// An attempt that two addresses accept is a violation whatever its class and stage.
 #[test]
 fn an_attempt_received_twice_is_reported() {
