Keys and ids of states are never given twice: a random number of the process in each

Cause: keys of keyed classes and tool calls, and the ids by which states are released, were built on the client's x-request-id or the front's name and a counter from 1. A restart, two fronts of one name and a client's choice give the same key again.

Change: crates/front/src/ids.rs makes them all: 128 random bits of the process (rand) and the number of the request; the client's word is a label.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -19,6 +19,7 @@
 use serde_json::Value;
 
 use crate::engines::{self, Attempt, StreamSink};
+use crate::ids::RequestIds;
 use crate::mcp::{self, PostAction};
 use crate::owner::{self, Command, Input, SendMail};
 use crate::slot::{CancelSlot, OperationKey};
@@ -226,7 +227,7 @@
         session: Option<String>,
         progress_token: Option<Id>,
     ) -> Result<bool, NetError> {
-        let chain = ChainId(self.shared.next_chain.fetch_add(1, Ordering::Relaxed));
+        let chain = self.shared.ids.next_chain();
         let session_id = head.headers.get(codec::SESSION_HEADER).map(str::to_owned);
         if let Some(session_id) = &session_id
             && !self.shared.sessions.begin_call(session_id, id.clone(), chain)
@@ -244,8 +245,7 @@
                 && rid.len() <= MAX_REQUEST_ID_BYTES
                 && rid.bytes().all(|b| b.is_ascii_graphic() && b != b'/')
         });
-        let front_name = &self.shared.config.front.name;
-        let rid = client_rid.map_or_else(|| format!("{front_name}-{}", chain.0), str::to_owned);
+        let ids = self.shared.ids.request_ids(chain, &self.shared.config.front.name, client_rid);
         let mut writer = match self.writer.take() {
             Some(writer) => writer,
             None => self.conn.try_clone_for_writing()?,
@@ -257,7 +257,7 @@
         spawn(move || {
             let _guard = guard;
             let mut request =
-                ToolCallRequest::new(&shared, writer, chain, id, route, rid, prompt, progress_token);
+                ToolCallRequest::new(&shared, writer, chain, id, route, ids, prompt, progress_token);
             request.run(session);
             // The connection may have closed meanwhile.
             let _ = end_sender.send((request.writer, request.is_writable));
@@ -332,7 +332,7 @@
     chain: ChainId,
     id: Id,
     route: usize,
-    rid: String,
+    ids: RequestIds,
     progress_token: Option<Id>,
     /// The conversation so far.
     messages: Vec<Message>,
@@ -361,7 +361,7 @@
         chain: ChainId,
         id: Id,
         route: usize,
-        rid: String,
+        ids: RequestIds,
         prompt: String,
         progress_token: Option<Id>,
     ) -> ToolCallRequest<'a> {
@@ -374,7 +374,7 @@
             chain,
             id,
             route,
-            rid,
+            ids,
             progress_token,
             messages,
             answer_text: String::new(),
@@ -405,7 +405,7 @@
             is_repeat: false,
         };
         let submission =
-            Input::NewRequest { submit, rid: self.rid.clone(), commands: command_sender, slot: slot.clone() };
+            Input::NewRequest { submit, ids: self.ids.clone(), commands: command_sender, slot: slot.clone() };
         if self.shared.inbox.try_send(submission).is_err() {
             // The owner's queue is full or the owner has ended: the request was not submitted.
             let retry_after = self.shared.config.rules.max_retry_after;
@@ -469,8 +469,8 @@
             server: &send.server,
             stage: send.stage,
             operation: OperationKey::Attempt { turn: send.turn, attempt: send.attempt },
-            rid: format!("{}/{}/{}", self.rid, send.turn, send.attempt),
-            idempotency_key: send.keyed.then(|| format!("{}/{}", self.rid, send.turn)),
+            rid: self.ids.attempt(send.turn, send.attempt),
+            idempotency_key: send.keyed.then(|| self.ids.turn_key(send.turn)),
             timeout: Duration::from_micros(send.timeout),
             is_at_most_once: send.once,
             body,
@@ -530,8 +530,8 @@
         // A model may write arguments that are not a JSON object; the tool then gets an empty object.
         let arguments = serde_json::from_str(&tool_call.function.arguments).ok().filter(Value::is_object);
         let tool_try = tools::ToolCall {
-            rid: format!("{}/{turn}/t{call}.{attempt}", self.rid),
-            idempotency_key: format!("{}/{turn}/t{call}", self.rid),
+            rid: self.ids.tool_try(turn, call, attempt),
+            idempotency_key: self.ids.tool_call_key(turn, call),
             arguments: arguments.unwrap_or_else(|| serde_json::json!({})),
             slot,
             operation: OperationKey::Tool { turn, call },
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod engines;
+mod ids;
 mod links;
 mod mcp;
 mod owner;
@@ -18,7 +19,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,7 @@
 use elderstage_net::{Listener, ListenerHandle, init, spawn};
 use thiserror::Error;
 
+use ids::IdSource;
 use links::ConnPool;
 pub use owner::Status;
 use owner::{Input, Owner};
@@ -70,7 +72,7 @@
     pub sessions: Sessions,
     pub tools: Vec<tools::ToolClient>,
     pub clock: Clock,
-    pub next_chain: AtomicU64,
+    pub ids: IdSource,
     /// Number of requests whose coroutine runs.
     pub active: AtomicUsize,
     pub connections: AtomicUsize,
@@ -112,7 +114,7 @@
             catalog,
             inbox,
             clock,
-            next_chain: AtomicU64::new(1),
+            ids: IdSource::new(),
             active: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -19,6 +19,7 @@
 use elderstage_protocol::{engine, orca};
 
 use crate::Shared;
+use crate::ids::RequestIds;
 use crate::links::ExchangeError;
 use crate::plan::{self, ClockMapping};
 use crate::slot::{CancelSlot, OperationKey};
@@ -52,7 +53,7 @@
 /// An event in the owner's queue.
 pub(crate) enum Input {
     /// A new request of a client.
-    NewRequest { submit: NewRequest, rid: String, commands: Sender<Command>, slot: Arc<CancelSlot> },
+    NewRequest { submit: NewRequest, ids: RequestIds, commands: Sender<Command>, slot: Arc<CancelSlot> },
     /// An event for the core.
     Core(Event),
     /// A load report that arrived with an answer of this server.
@@ -77,7 +78,7 @@
 
 /// A request whose coroutine runs.
 struct OpenRequest {
-    rid: String,
+    ids: RequestIds,
     commands: Sender<Command>,
     slot: Arc<CancelSlot>,
 }
@@ -114,7 +115,7 @@
     /// Sends a command to the coroutine of a request.
     fn send_command(&self, chain: ChainId, command: Command) {
         if let Some(request) = self.open_requests.get(&chain) {
-            tracing::trace!(target: "request", rid = %request.rid, mail = ?command, "command sent to the request");
+            tracing::trace!(target: "request", rid = %request.ids.label, mail = ?command, "command sent to the request");
             // A coroutine runs until its last command. Sending to one that has ended has no effect.
             let _ = request.commands.send(command);
         }
@@ -150,16 +151,14 @@
                 }
             }
             Effect::Release { chain, turn, attempt, server } => {
-                let rid =
-                    self.open_requests.get(&chain).map(|request| format!("{}/{turn}/{attempt}", request.rid));
-                if let Some(rid) = rid {
-                    release_state(&self.shared, server, rid);
+                if let Some(request) = self.open_requests.get(&chain) {
+                    release_state(&self.shared, server, request.ids.attempt(turn, attempt));
                 }
             }
             Effect::Probe { server } => probe_server(&self.shared, server),
             Effect::Answer { chain, final_answer: last } => {
                 if let Some(request) = self.open_requests.get(&chain) {
-                    tracing::info!(target: "request", rid = %request.rid, ?last, "request ended");
+                    tracing::info!(target: "request", rid = %request.ids.label, ?last, "request ended");
                 }
                 self.send_command(chain, Command::Last(last));
             }
@@ -175,9 +174,9 @@
 
     fn handle(&mut self, now: Micros, input: Input) -> bool {
         match input {
-            Input::NewRequest { submit, rid, commands, slot } => {
-                tracing::debug!(target: "request", %rid, route = submit.route, "request accepted");
-                self.open_requests.insert(submit.chain, OpenRequest { rid, commands, slot });
+            Input::NewRequest { submit, ids, commands, slot } => {
+                tracing::debug!(target: "request", rid = %ids.label, route = submit.route, "request accepted");
+                self.open_requests.insert(submit.chain, OpenRequest { ids, commands, slot });
                 self.handle_core_event(now, Event::Submit(submit));
             }
             Input::Core(event) => self.handle_core_event(now, event),
--- /dev/null
+++ b/crates/front/tests/common/engine.rs
@@ -0,0 +1,124 @@
+//! A scripted engine: answers each request with the same turn, and records what it got.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use elderstage_net::{Conn, Listener, ListenerHandle, NetError, spawn};
+use elderstage_protocol::http;
+
+/// A request that the engine received.
+#[derive(Clone, Debug)]
+pub struct ReceivedRequest {
+    pub request_id: String,
+    pub idempotency_key: Option<String>,
+    /// Number of its connection, in the order in which they were accepted.
+    pub connection: usize,
+    pub body: String,
+}
+
+/// What the engine does besides answering.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineScript {
+    /// The answer is sent a second time after this time.
+    pub repeat_answer_after: Option<Duration>,
+}
+
+/// An engine that reads and writes. Its answer repeats the text between `<<` and `>>` in the request.
+pub struct ScriptedEngine {
+    pub addr: SocketAddr,
+    requests: Arc<Mutex<Vec<ReceivedRequest>>>,
+    listener: ListenerHandle,
+}
+
+impl Drop for ScriptedEngine {
+    fn drop(&mut self) {
+        self.listener.stop();
+    }
+}
+
+impl ScriptedEngine {
+    pub fn start(script: EngineScript) -> ScriptedEngine {
+        elderstage_net::init(2);
+        let listener = Listener::bind("127.0.0.1:0").unwrap();
+        let (addr, handle) = (listener.addr(), listener.handle());
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let recorded = requests.clone();
+        spawn(move || {
+            let mut connections = 0;
+            let on_connection = |conn: Conn| {
+                let (recorded, number) = (recorded.clone(), connections);
+                connections += 1;
+                spawn(move || {
+                    // The front may close the connection at any time.
+                    let _ = serve(conn, number, script, &recorded);
+                });
+            };
+            listener.serve(on_connection, |error| panic!("accept: {error}"));
+        });
+        ScriptedEngine { addr, requests, listener: handle }
+    }
+
+    /// The requests for answers that were received so far.
+    pub fn requests(&self) -> Vec<ReceivedRequest> {
+        self.requests.lock().unwrap().clone()
+    }
+}
+
+/// The marked text of a request.
+pub fn marked_text(body: &str) -> &str {
+    let text = body.split("<<").nth(1).unwrap_or_default();
+    text.split(">>").next().unwrap_or_default()
+}
+
+fn serve(
+    mut conn: Conn,
+    connection: usize,
+    script: EngineScript,
+    requests: &Mutex<Vec<ReceivedRequest>>,
+) -> Result<(), NetError> {
+    loop {
+        let head = conn.receive_request()?;
+        conn.send_continue(&head)?;
+        let body = String::from_utf8(conn.receive_body(head.framing)?).unwrap();
+        if head.method == "GET" {
+            let mut answer = Vec::new();
+            http::write_response(200, &[], b"", true, &mut answer);
+            conn.write(&answer)?;
+            continue;
+        }
+        let header = |name: &str| head.headers.get(name).map(str::to_owned);
+        let answer = write_turn(marked_text(&body));
+        requests.lock().unwrap().push(ReceivedRequest {
+            request_id: header("x-request-id").unwrap_or_default(),
+            idempotency_key: header("idempotency-key"),
+            connection,
+            body,
+        });
+        conn.write(&answer)?;
+        if let Some(delay) = script.repeat_answer_after {
+            let mut second = conn.try_clone_for_writing()?;
+            spawn(move || {
+                elderstage_net::sleep(delay);
+                // The front may have closed the connection.
+                let _ = second.write(&answer);
+            });
+        }
+    }
+}
+
+/// A streamed turn with this text.
+fn write_turn(text: &str) -> Vec<u8> {
+    let chunk = |delta: serde_json::Value, finish: Option<&str>| {
+        let choice = serde_json::json!({"index": 0, "delta": delta, "finish_reason": finish});
+        format!("data: {}\n\n", serde_json::json!({"choices": [choice]}))
+    };
+    let events = chunk(serde_json::json!({"content": text}), None)
+        + &chunk(serde_json::json!({}), Some("stop"))
+        + "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":5}}\n\ndata: [DONE]\n\n";
+    let mut answer = Vec::new();
+    http::write_stream_head(200, &[("content-type", "text/event-stream")], &mut answer);
+    http::write_chunk(events.as_bytes(), &mut answer);
+    answer.extend_from_slice(http::LAST_CHUNK);
+    answer
+}
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A front in this process with a fleet of mock servers, and a client that sends raw HTTP.
 #![allow(dead_code)]
 
+pub mod engine;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
--- a/crates/rehearsal/src/rules/effects.rs
+++ b/crates/rehearsal/src/rules/effects.rs
@@ -121,7 +121,7 @@
     verdict
 }
 
-/// The part of a tool request id that names the call, without the attempt: `c17/1/t0` of `c17/1/t0.2`.
+/// The part of a tool request id that names the call, without the attempt: `c17/1/t0` of `c17/1/t0.2@...`.
 fn tool_call_id(rid: &str) -> &str {
     rid.rfind('.').map_or(rid, |at| &rid[..at])
 }
