A late second answer is nobody's: rested connections, and new ones for what must not run twice

Cause: the front's pool reused a connection at once and looked for unasked bytes only then; the order on the connection is the only sign of whose an answer is.

Change: attempts that must not run twice use no connection that has carried a request (Race::require_new_connection): a proof by order. All others rest for 30 ms (MIN_REUSE_REST, now one constant of node and front): a proof by time. The pool's test takes connections after the rest; the test of proofs closes the expired connections of the requests before, which no longer carry the later ones.

--- a/crates/core/src/addresses/pool.rs
+++ b/crates/core/src/addresses/pool.rs
@@ -1,14 +1,23 @@
 //! The pool of idle connections, kept for the next request.
 //!
+//! HTTP/1.1 does not say which request an answer belongs to, but by its order on the connection. A faulty server may
+//! send a second answer some time after the first; on a connection that carries the next request it would be taken
+//! for that one's answer. So a connection rests before it is used again, and the bytes that arrive meanwhile end it.
+//! That is a proof by time alone: a request that must not run twice does without idle connections.
+//!
 //! The pool never closes a connection itself: connections to close are collected until the caller takes them.
 
 use std::collections::HashMap;
 
 use elderstage::Time;
+use elderstage_protocol::http::MIN_REUSE_REST;
 use elderstage_protocol::place::Endpoint;
 
 use super::gate::ConnectionLimits;
 
+/// Shortest time from the end of an answer until the connection carries the next request.
+const MIN_REST: Time = MIN_REUSE_REST.as_micros() as Time;
+
 /// Age and use count of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionAge {
@@ -48,10 +57,11 @@
         life.uses >= self.bounds.max_uses || now >= life.opened_at + self.bounds.max_age
     }
 
-    /// Takes the most recently used idle connection, so that surplus ones expire.
+    /// Takes the most recently used of the idle connections that have rested, so that surplus ones expire.
     pub fn take(&mut self, now: Time, endpoint: &Endpoint) -> Option<(C, ConnectionAge)> {
         let list = self.idle.get_mut(endpoint)?;
-        while let Some(Idle { conn, life, since }) = list.pop() {
+        while let Some(newest) = list.iter().rposition(|idle| now >= idle.since + MIN_REST) {
+            let Idle { conn, life, since } = list.remove(newest);
             if now < since + self.bounds.idle_timeout && now < life.opened_at + self.bounds.max_age {
                 return Some((conn, life));
             }
--- a/crates/core/src/addresses/tests.rs
+++ b/crates/core/src/addresses/tests.rs
@@ -57,6 +57,11 @@
     assert_eq!(proofs(&mut addresses, true), 1);
     // A server with one address leaves no alternative, so a request that may be repeated needs no proof.
     addresses.apply_list(S, [(server("s"), endpoints()[..1].to_vec(), false)]);
+    // The connections of the requests before have expired.
+    addresses.run_maintenance(60 * S, 250 * MS);
+    for _ in addresses.take_closing() {
+        addresses.record_closed(&endpoints()[0]);
+    }
     let mut race = addresses.start_race(60 * S, &server("s"), needs(false));
     assert!(matches!(connect(&mut addresses, &mut race, 60 * S), RaceStep::Send(0, RemainingRequest::Whole)));
 }
--- a/crates/front/tests/foreign_answers.rs
+++ b/crates/front/tests/foreign_answers.rs
@@ -3,11 +3,13 @@
 mod common;
 
 use std::sync::atomic::AtomicBool;
+use std::time::Duration;
 
 use common::engine::{EngineScript, ScriptedEngine};
 use common::{Call, MAX_WAIT, create_temp_dir};
 use elderstage_front::Front;
 use elderstage_net::{EndpointPath, connect, send};
+use elderstage_protocol::http::MIN_REUSE_REST;
 
 /// A front before one engine, with a safe, a keyed and an unsafe class.
 fn start_front(engine: &ScriptedEngine) -> Front {
@@ -62,3 +64,40 @@
     let ids = requests.iter().map(|request| request.request_id.clone());
     assert_eq!(distinct(ids.collect()), 6, "states are released by these: {requests:?}");
 }
+
+/// Guards against a customer who is served with the answer to another one's order, or whose order is placed again: an
+/// engine's late second answer is read as the answer to the next request on its connection (`review/6`).
+#[test]
+fn a_second_answer_is_nobodys() {
+    // Before the rest of a connection is over: nobody gets it. Later it is proved by order alone, on a connection of its own.
+    for (delay_ms, tools) in [(5, &["ask", "booking", "order"][..]), (60, &["booking", "order"])] {
+        let repeat_answer_after = Some(Duration::from_millis(delay_ms));
+        let engine = ScriptedEngine::start(EngineScript { repeat_answer_after });
+        let front = start_front(&engine);
+        for tool in tools {
+            for customer in 0..10 {
+                let text = format!("{customer} bowls");
+                assert_eq!(call(&front, tool, &format!("<<{text}>>"), None), text, "{tool}, {delay_ms} ms");
+            }
+        }
+        front.finish(&AtomicBool::new(false));
+    }
+}
+
+/// Guards against an engine's connection that two requests share of which one must not run twice.
+#[test]
+fn a_request_that_must_not_run_twice_gets_a_connection_that_carried_none() {
+    let engine = ScriptedEngine::start(EngineScript::default());
+    let front = start_front(&engine);
+    let mut used = Vec::new();
+    for tool in ["ask", "order", "ask", "order", "booking"] {
+        call(&front, tool, "<<a bowl>>", None);
+        let connection = engine.requests().last().unwrap().connection;
+        assert!(tool == "ask" || !used.contains(&connection), "{tool}: {connection} of {used:?}");
+        used.push(connection);
+        // The connection rests long enough to be used again.
+        std::thread::sleep(2 * MIN_REUSE_REST);
+    }
+    assert_eq!(used[2], used[1], "what may be repeated uses the connection again");
+    front.finish(&AtomicBool::new(false));
+}
--- a/crates/protocol/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -370,6 +370,10 @@
     out.extend_from_slice(b"\r\n");
 }
 
+/// Shortest time from the end of an answer until its connection carries the next request. A faulty server may send a
+/// second answer some milliseconds after the first, and nothing but its order tells which request an answer belongs to.
+pub const MIN_REUSE_REST: std::time::Duration = std::time::Duration::from_millis(30);
+
 /// The end of a chunked body.
 pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
