A finished stream that ends with a comment is whole

All events arrive, then the connection ends without the last chunk: 20 of 20 requests never get a whole answer.

Cause: the node's parser wanted an empty line (of LF) behind everything; by the format a comment needs none, and lines may end with CR or CR LF. The MCP front wanted the body to end with its next read after [DONE].

A partial event behind [DONE] is still incomplete (the test of it stays as it is). Front: reads on to the end of the body, 64 KiB at most.

--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -19,6 +19,9 @@
 use crate::links::{ConnectOutcome, ConnectRequest};
 use crate::slot::{CancelSlot, OperationKey};
 
+/// Most bytes of comments after the last event of a stream.
+const MAX_BYTES_AFTER_LAST_EVENT: usize = 64 << 10;
+
 /// What an attempt sends, to which server, and under which limits.
 pub(crate) struct Attempt<'a> {
     pub server: &'a ServerId,
@@ -231,6 +234,19 @@
     }
 }
 
+/// Receives the rest of a body after the last event. Comments may come before its end, such as a load report. Returns
+/// whether the end came.
+fn receive_body_end(conn: &mut Conn, body: &mut http::BodyDecoder) -> bool {
+    let mut rest = Vec::new();
+    loop {
+        match conn.receive_body_piece(body, &mut rest) {
+            Ok(true) if rest.len() <= MAX_BYTES_AFTER_LAST_EVENT => {}
+            Ok(false) => return true,
+            Ok(true) | Err(_) => return false,
+        }
+    }
+}
+
 /// Reads a streamed response from the socket and passes its output to the sink.
 fn read_stream(
     shared: &Shared,
@@ -269,15 +285,14 @@
             return AttemptOutcome::from_evidence(Evidence::Garbled);
         }
         if stream_state.is_done {
-            // The end of the body must follow; without it the connection cannot be reused.
-            let body_end = conn.receive_body_piece(&mut body, &mut bytes);
+            let is_body_whole = receive_body_end(conn, &mut body);
             let calls = stream_state.calls.into_tool_calls();
             let is_consistent = match stream_state.finish {
                 None => false,
                 Some(FinishReason::ToolCalls) => !calls.is_empty(),
                 Some(_) => calls.is_empty(),
             };
-            if !stream_state.has_output || !is_consistent || !matches!(body_end, Ok(false)) {
+            if !stream_state.has_output || !is_consistent || !is_body_whole {
                 return AttemptOutcome::from_evidence(Evidence::Garbled);
             }
             let cached = stream_state.usage.map_or(0, |usage| usage.cached);
--- a/crates/front/tests/foreign_answers.rs
+++ b/crates/front/tests/answers.rs
@@ -1,4 +1,4 @@
-//! A customer is served only with what an engine made for him.
+//! A customer is served with all that an engine made for him, and with nothing else.
 
 mod common;
 
@@ -72,7 +72,7 @@
     // Before the rest of a connection is over: nobody gets it. Later it is proved by order alone, on a connection of its own.
     for (delay_ms, tools) in [(5, &["ask", "booking", "order"][..]), (60, &["booking", "order"])] {
         let repeat_answer_after = Some(Duration::from_millis(delay_ms));
-        let engine = ScriptedEngine::start(EngineScript { repeat_answer_after });
+        let engine = ScriptedEngine::start(EngineScript { repeat_answer_after, ..EngineScript::default() });
         let front = start_front(&engine);
         for tool in tools {
             for customer in 0..10 {
@@ -101,3 +101,16 @@
     assert_eq!(used[2], used[1], "what may be repeated uses the connection again");
     front.finish(&AtomicBool::new(false));
 }
+
+/// Guards against finished answers that fail, since a comment such as a load report follows their last event.
+#[test]
+fn an_answer_that_ends_with_a_comment_is_whole() {
+    for last_comment in [": TEXT inflight=7", ": TEXT inflight=7\n", ": TEXT inflight=7\n\n"] {
+        let engine = ScriptedEngine::start(EngineScript { last_comment, ..EngineScript::default() });
+        let front = start_front(&engine);
+        for tool in ["ask", "order"] {
+            assert_eq!(call(&front, tool, "<<a bowl>>", None), "a bowl", "{tool}, {last_comment:?}");
+        }
+        front.finish(&AtomicBool::new(false));
+    }
+}
--- a/crates/front/tests/common/engine.rs
+++ b/crates/front/tests/common/engine.rs
@@ -7,6 +7,9 @@
 use elderstage_net::{Conn, Listener, ListenerHandle, NetError, spawn};
 use elderstage_protocol::http;
 
+/// Time between the last event and the comment after it, so that they arrive apart.
+const COMMENT_DELAY: Duration = Duration::from_millis(20);
+
 /// A request that the engine received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -22,6 +25,8 @@
 pub struct EngineScript {
     /// The answer is sent a second time after this time.
     pub repeat_answer_after: Option<Duration>,
+    /// Comes after the last event of a stream, in a chunk and a packet of its own.
+    pub last_comment: &'static str,
 }
 
 /// An engine that reads and writes. Its answer repeats the text between `<<` and `>>` in the request.
@@ -88,27 +93,31 @@
             continue;
         }
         let header = |name: &str| head.headers.get(name).map(str::to_owned);
-        let answer = write_turn(marked_text(&body));
+        let (events, end) = write_turn(marked_text(&body), script.last_comment);
         requests.lock().unwrap().push(ReceivedRequest {
             request_id: header("x-request-id").unwrap_or_default(),
             idempotency_key: header("idempotency-key"),
             connection,
             body,
         });
-        conn.write(&answer)?;
+        conn.write(&events)?;
+        if !script.last_comment.is_empty() {
+            elderstage_net::sleep(COMMENT_DELAY);
+        }
+        conn.write(&end)?;
         if let Some(delay) = script.repeat_answer_after {
             let mut second = conn.try_clone_for_writing()?;
             spawn(move || {
                 elderstage_net::sleep(delay);
                 // The front may have closed the connection.
-                let _ = second.write(&answer);
+                let _ = second.write(&[events, end].concat());
             });
         }
     }
 }
 
-/// A streamed turn with this text.
-fn write_turn(text: &str) -> Vec<u8> {
+/// A streamed turn with this text: its head and events, and what ends it.
+fn write_turn(text: &str, last_comment: &str) -> (Vec<u8>, Vec<u8>) {
     let chunk = |delta: serde_json::Value, finish: Option<&str>| {
         let choice = serde_json::json!({"index": 0, "delta": delta, "finish_reason": finish});
         format!("data: {}\n\n", serde_json::json!({"choices": [choice]}))
@@ -116,9 +125,12 @@
     let events = chunk(serde_json::json!({"content": text}), None)
         + &chunk(serde_json::json!({}), Some("stop"))
         + "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":5}}\n\ndata: [DONE]\n\n";
-    let mut answer = Vec::new();
+    let (mut answer, mut end) = (Vec::new(), Vec::new());
     http::write_stream_head(200, &[("content-type", "text/event-stream")], &mut answer);
     http::write_chunk(events.as_bytes(), &mut answer);
-    answer.extend_from_slice(http::LAST_CHUNK);
-    answer
+    if !last_comment.is_empty() {
+        http::write_chunk(last_comment.as_bytes(), &mut end);
+    }
+    end.extend_from_slice(http::LAST_CHUNK);
+    (answer, end)
 }
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -262,6 +262,51 @@
     assert_eq!(result, Err(StreamError::NotAnEvent));
 }
 
+/// Guards against finished streams that are cut: their last line is a comment without an empty line (`review/9`), or their
+/// lines end as the format allows besides LF.
+#[test]
+fn a_finished_stream_is_whole_however_its_lines_and_comments_end() {
+    let report = ": Endpoint-Load-Metrics: TEXT util=0.5";
+    for line_end in ["\n", "\r\n", "\r"] {
+        let events: Vec<String> = EVENTS.iter().map(|event| event.replace('\n', line_end)).collect();
+        for (last, is_complete, has_report) in [
+            ("", true, false),
+            (report, true, true),
+            (&format!("{report}\n"), true, true),
+            (&format!("{report}\n\n"), true, true),
+            (&format!(": a note\n{report}\n"), true, true),
+            ("\n\n: a note\n", true, false),
+            ("data: half", false, false),
+            ("data: half\n", false, false),
+            (&format!("{report}\ndata: half\n"), false, false),
+        ] {
+            let last = last.replace('\n', line_end);
+            let parts = [&events[0], &events[1], &events[2], &last];
+            // An empty chunk would be the last one.
+            let parts: Vec<&str> =
+                parts.map(String::as_str).into_iter().filter(|part| !part.is_empty()).collect();
+            let bytes = chunked(&parts);
+            for cut in 0..bytes.len() {
+                let (mut stream, mut out) = (EventStream::new(), Vec::new());
+                let case = format!("{line_end:?}, {last:?}, cut at {cut}");
+                let taken = stream.push(&bytes[..cut], &mut out).unwrap();
+                assert_eq!((taken, stream.is_ended()), (cut, false), "{case}");
+                stream.push(&bytes[cut..], &mut out).unwrap();
+                assert_eq!(String::from_utf8(out).unwrap(), events.concat(), "{case}");
+                assert_eq!((stream.is_ended(), stream.is_complete()), (true, is_complete), "{case}");
+                assert_eq!(stream.into_summary().report.is_some(), has_report, "{case}");
+            }
+        }
+        // Without the last chunk, or with a part of it, the stream has not ended.
+        let bytes = chunked(&[&events[0], &events[1], &events[2], report]);
+        for missing in 1..=http::LAST_CHUNK.len() {
+            let mut stream = EventStream::new();
+            stream.push(&bytes[..bytes.len() - missing], &mut Vec::new()).unwrap();
+            assert!(!stream.is_complete(), "{line_end:?}, {missing} bytes of the last chunk missing");
+        }
+    }
+}
+
 #[test]
 fn a_report_with_a_missing_or_invalid_value_is_rejected() {
     let fields = [ReportField::LatencyMs, ReportField::MemoryShare, ReportField::PendingThousands];
