--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -12,10 +12,13 @@
 
 use elderstage_net::{Conn, Endpoint, NetError, connect};
 use elderstage_platform::kept::ReuseMonitor;
-use elderstage_protocol::http::MIN_REUSE_REST;
 
 /// A connection is not reused after the engines' idle limit divided by this.
 const IDLE_LIMIT_DIVISOR: u32 = 2;
+/// Minimum idle time before a connection is reused. A faulty engine may send a second response some
+/// milliseconds after the first. On a connection that already carries the next request it would be taken for
+/// the response to that request.
+const REUSE_DELAY: Duration = Duration::from_millis(30);
 /// Maximum idle time of a connection where the settings have no idle limit of the engines.
 const DEFAULT_MAX_IDLE: Duration = Duration::from_secs(5);
 
@@ -144,7 +147,7 @@
             let idle = {
                 let mut all = self.idle();
                 let reusable = all.get_mut(&address).and_then(|to_engine| {
-                    let newest = to_engine.iter().rposition(|idle| idle.since.elapsed() >= MIN_REUSE_REST)?;
+                    let newest = to_engine.iter().rposition(|idle| idle.since.elapsed() >= REUSE_DELAY)?;
                     Some(to_engine.remove(newest))
                 });
                 if all.get(&address).is_some_and(Vec::is_empty) {
--- a/crates/platform/src/stream.rs
+++ b/crates/platform/src/stream.rs
@@ -1,12 +1,10 @@
 //! Parses an engine's stream of server-sent events, in chunks that may be split anywhere, into complete events to forward.
 //!
 //! Only verified content is forwarded: the content of chunks that ended where their size said, and of that only complete
-//! events. Lines end with LF, CR or CR LF, and an empty line ends an event. Comments need no empty line (HTML Living
-//! Standard, "Server-sent events", 9.2.6): a stream that ends with some is whole. The buffer is bounded. The caller owns the
-//! sockets and the deadlines.
+//! events. The buffer is bounded. The caller owns the sockets and the deadlines.
 
 use elderstage_protocol::http::{BodyDecoder, Framing, HttpError};
-use memchr::{memchr2, memmem};
+use memchr::memmem;
 use thiserror::Error;
 
 use crate::report;
@@ -80,8 +78,7 @@
         self.body.is_done()
     }
 
-    /// Returns whether the stream ended completely: as its framing says, with the end mark, and without a partial event after
-    /// it.
+    /// Returns whether the stream ended completely: with the end mark, and without a partial event after it.
     pub fn is_complete(&self) -> bool {
         self.is_ended() && self.has_end_mark && self.buffer.is_empty()
     }
@@ -96,62 +93,33 @@
         let taken = self.body.push(bytes, &mut self.buffer);
         // Content that came before an invalid chunk is valid.
         let verified = self.buffer.len() - self.body.unconfirmed_bytes().min(self.buffer.len());
-        let is_ended = taken.is_ok() && self.body.is_done();
-        let buffer = std::mem::take(&mut self.buffer);
-        let forwarded = self.forward_blocks(&buffer[..verified], is_ended, out);
-        self.buffer = buffer;
-        self.buffer.drain(..forwarded?);
-        if is_ended {
-            self.take_last_comments();
+        let mut at = 0;
+        while let Some(end) = memmem::find(&self.buffer[at..verified], b"\n\n") {
+            let block = at..at + end + 2;
+            at = block.end;
+            self.forward_block(block, out)?;
         }
+        self.buffer.drain(..at);
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(StreamError::TooLarge);
         }
         Ok(taken?)
     }
 
-    /// Takes the comments that follow the last block at the end of the stream. A partial event remains in the buffer.
-    fn take_last_comments(&mut self) {
-        if !lines(&self.buffer).all(|line| line.starts_with(b":")) {
-            return;
-        }
-        let comments = std::mem::take(&mut self.buffer);
-        for comment in lines(&comments).filter_map(|line| line.strip_prefix(b":")) {
-            self.record_comment(comment);
-        }
-    }
-
-    /// Takes the load report from a comment, if it is one.
-    fn record_comment(&mut self, comment: &[u8]) {
-        let comment = String::from_utf8_lossy(comment);
-        let comment = comment.trim();
-        let name = comment.get(..report::HEADER.len());
-        if name.is_some_and(|name| name.eq_ignore_ascii_case(report::HEADER)) {
-            self.report = Some(comment.to_owned());
-        }
-    }
-
-    /// Handles all complete blocks and returns their length.
-    fn forward_blocks(
-        &mut self,
-        bytes: &[u8],
-        is_ended: bool,
-        out: &mut Vec<u8>,
-    ) -> Result<usize, StreamError> {
-        let mut at = 0;
-        while let Some(length) = find_block_end(&bytes[at..], is_ended) {
-            self.forward_block(&bytes[at..at + length], out)?;
-            at += length;
-        }
-        Ok(at)
-    }
-
     /// Handles one block, which ends with an empty line: forwards it if it holds data, and evaluates its comments.
-    fn forward_block(&mut self, block: &[u8], out: &mut Vec<u8>) -> Result<(), StreamError> {
+    fn forward_block(&mut self, at: std::ops::Range<usize>, out: &mut Vec<u8>) -> Result<(), StreamError> {
+        let block = &self.buffer[at];
         let mut has_data = false;
-        for line in lines(block) {
+        for line in block.split(|b| *b == b'\n').filter(|line| !line.is_empty()) {
             if let Some(comment) = line.strip_prefix(b":") {
-                self.record_comment(comment);
+                let comment = String::from_utf8_lossy(comment);
+                let comment = comment.trim();
+                if comment
+                    .get(..report::HEADER.len())
+                    .is_some_and(|name| name.eq_ignore_ascii_case(report::HEADER))
+                {
+                    self.report = Some(comment.to_owned());
+                }
             } else if let Some(data) = line.strip_prefix(b"data:") {
                 has_data = true;
                 self.has_end_mark |= data.trim_ascii() == b"[DONE]";
@@ -171,30 +139,6 @@
     }
 }
 
-/// Returns the lines of a block that are not empty, without their ends.
-fn lines(block: &[u8]) -> impl Iterator<Item = &[u8]> {
-    block.split(|byte| matches!(byte, b'\n' | b'\r')).filter(|line| !line.is_empty())
-}
-
-/// Returns the length of the first block with the empty line that ends it; `None` if it is incomplete. A CR at the end of
-/// the bytes may be the first half of a CR LF, unless the stream has ended.
-fn find_block_end(bytes: &[u8], is_ended: bool) -> Option<usize> {
-    let mut line_start = 0;
-    while let Some(length) = memchr2(b'\n', b'\r', &bytes[line_start..]) {
-        let end = line_start + length;
-        let next_line = match (bytes[end], bytes.get(end + 1)) {
-            (b'\r', Some(b'\n')) => end + 2,
-            (b'\r', None) if !is_ended => return None,
-            _ => end + 1,
-        };
-        if length == 0 {
-            return Some(next_line);
-        }
-        line_start = next_line;
-    }
-    None
-}
-
 /// Returns the number of cached prompt tokens from the usage in an event's data.
 fn parse_cached_tokens(data: &[u8]) -> Option<u64> {
     let value: serde_json::Value = serde_json::from_slice(data).ok()?;
