--- a/crates/cli/tests/known_red.rs
+++ b/crates/cli/tests/known_red.rs
@@ -43,6 +43,19 @@
     assert!(success && skips.is_empty(), "{skips}");
 }
 
+/// A case that CI can't run, such as a script or a seed of a bench, is printed and skips no test.
+#[test]
+fn known_failing_case_that_is_no_test_is_printed_and_not_run() {
+    let text = "a::red | cause | 7\n\nlag | review/10/run.sh, no seed | sent after a drain | 60\n";
+    let (success, skips, stderr) = outcome(&run_script("case", text));
+    assert!(success, "{stderr}");
+    assert_eq!(skips, "--exact\n--skip\na::red\n");
+    let printed = "known red, not run: lag: review/10/run.sh, no seed (sent after a drain; issue 60)";
+    assert!(stderr.contains(printed), "{stderr}");
+    let (success, skips, stderr) = outcome(&run_script("cases", "lag | command | seen | 60\n"));
+    assert!(success && skips.is_empty(), "{skips}{stderr}");
+}
+
 #[test]
 fn invalid_list_of_known_failing_tests_is_refused() {
     for (name, text, reason) in [
@@ -52,6 +65,9 @@
         ("twice", "twice | cause | 7\n", "2 tests are named twice"),
         ("bare", "a::red\n", "not \"test | cause | issue\""),
         ("no-issue", "a::red | cause |\n", "not \"test | cause | issue\""),
+        ("line-number", "a::red | cause | 7\n\na::red | seed\n", "KNOWN-RED.txt:3: not"),
+        ("no-seen", "lag | command | | 60\n", "KNOWN-RED.txt:1: not"),
+        ("five", "lag | command | seen | 60 | more\n", "KNOWN-RED.txt:1: not"),
         ("four", &"a::red | cause | 7\n".repeat(4), "holds 4 tests, 3 at most"),
     ] {
         let (success, skips, stderr) = outcome(&run_script(name, text));
