Connections rest for all; no connection of its own for what must not run twice

Cause: a connect for each attempt that must not run twice uses up the budget of 200 dials a second for a front, so none is left when addresses fail.

The test of proofs lets each request come after the rest of the connection before, and is as it was before otherwise. The page says what is proved by time alone.

--- a/crates/core/src/addresses/mod.rs
+++ b/crates/core/src/addresses/mod.rs
@@ -213,9 +213,7 @@
                 proof => proof,
             }
         };
-        let end = now + needs.connect_limit.min(needs.attempt_limit);
-        let race = Race::new(server.clone(), now, end, candidates, proof);
-        if needs.must_not_repeat { race.require_new_connection() } else { race }
+        Race::new(server.clone(), now, now + needs.connect_limit.min(needs.attempt_limit), candidates, proof)
     }
 
     /// The next step of the attempt.
--- a/crates/core/src/addresses/pool.rs
+++ b/crates/core/src/addresses/pool.rs
@@ -3,7 +3,7 @@
 //! HTTP/1.1 does not say which request an answer belongs to, but by its order on the connection. A faulty server may
 //! send a second answer some time after the first; on a connection that carries the next request it would be taken
 //! for that one's answer. So a connection rests before it is used again, and the bytes that arrive meanwhile end it.
-//! That is a proof by time alone: a request that must not run twice does without idle connections.
+//! That is a proof by time alone.
 //!
 //! The pool never closes a connection itself: connections to close are collected until the caller takes them.
 
--- a/crates/core/src/addresses/race.rs
+++ b/crates/core/src/addresses/race.rs
@@ -148,8 +148,6 @@
     is_head_written: bool,
     /// The front's limits denied a dial.
     is_dial_denied: bool,
-    /// No connection from the pool may be used.
-    needs_new_connection: bool,
     outcome: Option<RaceEnd>,
 }
 
@@ -180,18 +178,10 @@
             end,
             is_head_written: false,
             is_dial_denied: false,
-            needs_new_connection: false,
             outcome: None,
         }
     }
 
-    /// Lets the race use no connection that has carried a request, on which a late second answer to that one
-    /// could arrive.
-    pub fn require_new_connection(mut self) -> Race {
-        self.needs_new_connection = true;
-        self
-    }
-
     /// The address of a lane.
     pub fn endpoint(&self, lane: usize) -> &Endpoint {
         &self.lanes[lane].candidate.endpoint
@@ -324,8 +314,7 @@
         source: &mut impl ConnectionSource<C>,
     ) -> Option<RaceStep<C>> {
         let endpoint = self.lanes[lane].candidate.endpoint.clone();
-        if !self.needs_new_connection
-            && self.lanes[lane].stale_count < MAX_STALE_CONNECTIONS
+        if self.lanes[lane].stale_count < MAX_STALE_CONNECTIONS
             && let Some(conn) = source.take_idle(now, &endpoint)
         {
             (self.lanes[lane].state, self.lanes[lane].is_reused) = (LaneState::Ready, true);
--- a/crates/core/src/addresses/tests.rs
+++ b/crates/core/src/addresses/tests.rs
@@ -44,12 +44,15 @@
 #[test]
 fn unrepeatable_requests_are_always_proven_others_only_without_a_recent_proof() {
     let mut addresses = addresses();
-    let proofs = |addresses: &mut Addresses<u32>, once| {
+    let mut now = S;
+    let mut proofs = |addresses: &mut Addresses<u32>, once| {
+        // The connection of the request before has rested.
+        now += 30 * MS;
         let before = addresses.counts().proofs;
-        let mut race = addresses.start_race(S, &server("s"), needs(once));
-        let step = connect(addresses, &mut race, S);
+        let mut race = addresses.start_race(now, &server("s"), needs(once));
+        let step = connect(addresses, &mut race, now);
         assert!(matches!(step, RaceStep::Send(0, _)), "{step:?}");
-        addresses.return_connection(S, &endpoints()[0], 7, ConnectionAge::new(S));
+        addresses.return_connection(now, &endpoints()[0], 7, ConnectionAge::new(S));
         addresses.counts().proofs - before
     };
     assert_eq!(proofs(&mut addresses, false), 1, "nothing is known yet");
@@ -57,11 +60,6 @@
     assert_eq!(proofs(&mut addresses, true), 1);
     // A server with one address leaves no alternative, so a request that may be repeated needs no proof.
     addresses.apply_list(S, [(server("s"), endpoints()[..1].to_vec(), false)]);
-    // The connections of the requests before have expired.
-    addresses.run_maintenance(60 * S, 250 * MS);
-    for _ in addresses.take_closing() {
-        addresses.record_closed(&endpoints()[0]);
-    }
     let mut race = addresses.start_race(60 * S, &server("s"), needs(false));
     assert!(matches!(connect(&mut addresses, &mut race, 60 * S), RaceStep::Send(0, RemainingRequest::Whole)));
 }
