core: the state machine in a folder of modules, its messages and stages in files of their own

The circle of chain, driver and evidence over `Stage` is gone. No other line changes but imports and visibility.

Measured: the tests of core, front, expect and rehearsal pass as before.

--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -8,7 +8,7 @@
 
 use elderstage::{RepeatPolicy, RequestId, ServerId, Time};
 
-use crate::driver::Stage;
+use crate::stage::Stage;
 
 /// Identifies a client's request within one front.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -9,7 +9,7 @@
 
 use elderstage::Outcome;
 
-use crate::driver::Stage;
+use crate::stage::Stage;
 
 /// What the front observed of an attempt at an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,14 +15,20 @@
 pub mod addresses;
 pub mod admission;
 pub mod chain;
+mod counters;
 pub mod estimate;
 pub mod evidence;
 pub mod members;
+mod messages;
 mod plan;
+mod stage;
 mod timers;
 
 mod driver;
 
 pub use chain::{ChainId, Final, Reason};
-pub use driver::{Core, Counters, Effect, Event, NewRequest, RequestedToolCall, Stage};
+pub use counters::Counters;
+pub use driver::Core;
+pub use messages::{Effect, Event, NewRequest, RequestedToolCall};
 pub use plan::{ClassPlan, Limits, Plan, RoutePlan, ToolPlan};
+pub use stage::Stage;
