A finished stream is whole by its framing and its last event: one rule, one parser

The load report comes as one comment line behind [DONE] without an empty line; the client gets all events and a connection that ends without the last chunk, asks for the rest, and is cut again.

Cause: the node's parser took only blocks that end with an empty line of LF, and called a stream whole if nothing was left over. The front had a parser and a rule of its own.

Change: protocol::sse::BlockParser (lines of LF, CR and CR LF, each byte looked at once) and protocol::answer_stream::AnswerStream, the one place that decides whether a stream is whole: its body ended as its framing says, and its last event is the end mark. Node and front use them. Events of CR lines go on at the CR; comments between events are not held; the front takes the load report of a comment; an event behind the end mark makes a stream broken in both. A comment within an event stays there: taken out, the line ends around it could become one (found by the property test of the parser).

--- a/crates/cli/tests/node/main.rs
+++ b/crates/cli/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod closing;
 mod discovery;
 mod drains;
+mod endings;
 mod fleet;
 mod held_state;
 mod input;
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -4,6 +4,8 @@
 //! Whether the attempt is repeated is the core's decision. A connection is reused only after a response that was
 //! read to its end.
 
+mod stream;
+
 use std::time::{Duration, Instant};
 
 use elderstage::ServerId;
@@ -11,17 +13,17 @@
 use elderstage_core::addresses::{ConnectionNeeds, RaceFailure, RemainingRequest};
 use elderstage_core::evidence::Evidence;
 use elderstage_net::{Conn, NetError, send};
-use elderstage_protocol::engine::{self, FinishReason, ToolCall, Usage};
-use elderstage_protocol::{http, orca, sse};
+use elderstage_protocol::engine::{self, ToolCall, Usage};
+use elderstage_protocol::{http, orca};
 use serde_json::Value;
 
+use stream::StreamLimits;
+pub(crate) use stream::StreamSink;
+
 use crate::Shared;
 use crate::links::{ConnectOutcome, ConnectRequest};
 use crate::slot::{CancelSlot, OperationKey};
 
-/// Most bytes of comments after the last event of a stream.
-const MAX_BYTES_AFTER_LAST_EVENT: usize = 64 << 10;
-
 /// What an attempt sends, to which server, and under which limits.
 pub(crate) struct Attempt<'a> {
     pub server: &'a ServerId,
@@ -54,15 +56,6 @@
     }
 }
 
-/// Receives the output of a stream while it runs. A sink cannot stop the stream, which is read until it ends or is
-/// cancelled.
-pub(crate) trait StreamSink {
-    /// Called once, before the first text or tool call.
-    fn on_first_output(&mut self);
-    /// Called with each piece of text.
-    fn on_text(&mut self, text: &str);
-}
-
 /// Makes an attempt, unless it was cancelled before it began.
 pub(crate) fn run_attempt(
     shared: &Shared,
@@ -152,11 +145,17 @@
     let is_stream =
         head.headers.get("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
     let mut outcome = if head.status == 200 && is_stream && attempt.stage != Stage::Read {
-        read_stream(shared, conn, &head, sink)
+        let front = &shared.config.front;
+        let limits = StreamLimits {
+            max_call_bytes: front.max_body_bytes,
+            stall_timeout: Duration::from_micros(front.stall_timeout),
+        };
+        stream::read_stream(conn, &head, limits, sink)
     } else {
         read_whole_response(conn, &head, attempt.stage)
     };
-    outcome.report = report;
+    // A report at the end of a stream is newer than the one in its head.
+    outcome.report = outcome.report.or(report);
     // A connection is reused only after a response that was read to its end.
     if head.keep_alive
         && !matches!(outcome.evidence, Evidence::Garbled | Evidence::Broke | Evidence::TimedOut)
@@ -196,111 +195,3 @@
         _ => AttemptOutcome::from_evidence(Evidence::Garbled),
     }
 }
-
-/// What was received of a stream so far.
-#[derive(Default)]
-struct StreamState {
-    text_parser: engine::TextChunkParser,
-    calls: engine::ToolCallAssembler,
-    has_output: bool,
-    is_done: bool,
-    is_garbled: bool,
-    finish: Option<FinishReason>,
-    usage: Option<Usage>,
-}
-
-impl StreamState {
-    /// Processes the data of one event and appends its text to `text`.
-    fn push_event(&mut self, data: &str, text: &mut String, max_call_bytes: usize) {
-        if self.is_done || self.is_garbled || self.text_parser.parse(data, text) {
-            return;
-        }
-        if data == engine::STREAM_END_DATA {
-            self.is_done = true;
-            return;
-        }
-        match engine::parse_chunk(data) {
-            Ok(chunk) if chunk.error.is_none() => {
-                text.push_str(&chunk.text);
-                for piece in chunk.tool_calls {
-                    self.is_garbled |=
-                        !self.calls.push(piece) || self.calls.argument_bytes() > max_call_bytes;
-                }
-                self.finish = chunk.finish.or(self.finish);
-                self.usage = chunk.usage.or(self.usage);
-            }
-            _ => self.is_garbled = true,
-        }
-    }
-}
-
-/// Receives the rest of a body after the last event. Comments may come before its end, such as a load report. Returns
-/// whether the end came.
-fn receive_body_end(conn: &mut Conn, body: &mut http::BodyDecoder) -> bool {
-    let mut rest = Vec::new();
-    loop {
-        match conn.receive_body_piece(body, &mut rest) {
-            Ok(true) if rest.len() <= MAX_BYTES_AFTER_LAST_EVENT => {}
-            Ok(false) => return true,
-            Ok(true) | Err(_) => return false,
-        }
-    }
-}
-
-/// Reads a streamed response from the socket and passes its output to the sink.
-fn read_stream(
-    shared: &Shared,
-    conn: &mut Conn,
-    head: &http::Response,
-    sink: &mut dyn StreamSink,
-) -> AttemptOutcome {
-    let (mut body, mut parser) = (http::BodyDecoder::new(head.framing), sse::EventParser::default());
-    let (mut bytes, mut text) = (Vec::new(), String::new());
-    let mut stream_state = StreamState::default();
-    let max_call_bytes = shared.config.front.max_body_bytes;
-    loop {
-        bytes.clear();
-        match conn.receive_body_piece(&mut body, &mut bytes) {
-            // The body ended before the `[DONE]` event.
-            Ok(false) => return AttemptOutcome::from_evidence(Evidence::Broke),
-            Ok(true) => {}
-            Err(error) => return AttemptOutcome::from_evidence(evidence_of(&error)),
-        }
-        // Text that arrived in one socket read is passed on as one piece.
-        text.clear();
-        let parsed = parser
-            .for_each_event(&bytes, |event| stream_state.push_event(event.data, &mut text, max_call_bytes));
-        if !stream_state.has_output && (!text.is_empty() || stream_state.calls.has_calls()) {
-            stream_state.has_output = true;
-            // The deadline for the first token no longer applies. From here on, a stream without data for the stall
-            // time counts as broken.
-            conn.set_deadline(None);
-            conn.set_read_timeout(Some(Duration::from_micros(shared.config.front.stall_timeout)));
-            sink.on_first_output();
-        }
-        if !text.is_empty() {
-            sink.on_text(&text);
-        }
-        if parsed.is_err() || stream_state.is_garbled {
-            return AttemptOutcome::from_evidence(Evidence::Garbled);
-        }
-        if stream_state.is_done {
-            let is_body_whole = receive_body_end(conn, &mut body);
-            let calls = stream_state.calls.into_tool_calls();
-            let is_consistent = match stream_state.finish {
-                None => false,
-                Some(FinishReason::ToolCalls) => !calls.is_empty(),
-                Some(_) => calls.is_empty(),
-            };
-            if !stream_state.has_output || !is_consistent || !is_body_whole {
-                return AttemptOutcome::from_evidence(Evidence::Garbled);
-            }
-            let cached = stream_state.usage.map_or(0, |usage| usage.cached);
-            return AttemptOutcome {
-                usage: stream_state.usage,
-                calls,
-                ..AttemptOutcome::from_evidence(Evidence::Turn { cached })
-            };
-        }
-    }
-}
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -307,6 +307,24 @@
     }
 }
 
+/// Guards against streams that are cut, or take CPU time with the square of their length: an engine keeps the connection
+/// alive with comments, and needs no empty line behind them.
+#[test]
+fn comments_without_empty_lines_are_not_held() {
+    const COMMENTS: usize = 200_000;
+    let comment = chunked(&[":.\n"]);
+    let comment = comment.strip_suffix(http::LAST_CHUNK).unwrap();
+    let (mut stream, mut out) = (EventStream::new(), Vec::new());
+    for _ in 0..COMMENTS {
+        for piece in comment.chunks(5) {
+            stream.push(piece, &mut out).unwrap();
+            assert!(stream.pending_bytes() <= comment.len());
+        }
+    }
+    stream.push(&chunked(&EVENTS), &mut out).unwrap();
+    assert_eq!((String::from_utf8(out).unwrap(), stream.is_complete()), (EVENTS.concat(), true));
+}
+
 #[test]
 fn a_report_with_a_missing_or_invalid_value_is_rejected() {
     let fields = [ReportField::LatencyMs, ReportField::MemoryShare, ReportField::PendingThousands];
--- a/crates/protocol/src/orca.rs
+++ b/crates/protocol/src/orca.rs
@@ -44,6 +44,18 @@
     serde_json::from_str(json).ok()
 }
 
+/// The value of the load report in a comment of an event stream, `Endpoint-Load-Metrics: ...`. `None`: the comment is
+/// something else.
+pub fn report_in_comment(comment: &[u8]) -> Option<String> {
+    let comment = comment.trim_ascii();
+    let (name, rest) = comment.split_at_checked(REPORT_HEADER.len())?;
+    if !name.eq_ignore_ascii_case(REPORT_HEADER.as_bytes()) {
+        return None;
+    }
+    let value = rest.trim_ascii_start().strip_prefix(b":")?;
+    Some(String::from_utf8_lossy(value.trim_ascii()).into_owned())
+}
+
 /// Writes the value of the response header.
 pub fn format(report: &Report) -> String {
     format!("JSON {}", serde_json::to_string(report).unwrap_or_default())
