front: comments behind the end mark do not extend the wait for the end of a stream

Callers saw: a client has all text and waits on, up to the limit of its whole request, while its engine sends comments behind [DONE] and does not end the body.

Cause: the stall time was a limit on each read, and a comment is a read. Change: from the end mark on, the end must come within the stall time.

Evidence: comments_after_the_end_mark_do_not_hold_an_answer_open fails without the change ("the front still waits for the end of the body", after 20 s at a stall time of 0.3 s) and passes with it.

--- a/crates/front/src/engines/stream.rs
+++ b/crates/front/src/engines/stream.rs
@@ -1,6 +1,6 @@
 //! Reads a streamed response of an engine.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use elderstage_core::evidence::Evidence;
 use elderstage_net::{Conn, NetError};
@@ -19,7 +19,7 @@
 pub(super) struct StreamLimits {
     /// Most bytes of the arguments of all tool calls together.
     pub max_call_bytes: usize,
-    /// Longest time without data after the first output.
+    /// Longest time without data after the first output, and from the end mark to the end of the body.
     pub stall_timeout: Duration,
 }
 
@@ -102,6 +102,7 @@
     loop {
         // Text that arrived in one socket read is passed on as one piece.
         text.clear();
+        let had_end_mark = stream.has_end_mark();
         let pushed = stream.push(conn.pending(), |part| {
             if let AnswerPart::Event { data, .. } = part {
                 stream_state.push_event(&data, &mut text, limits.max_call_bytes);
@@ -130,6 +131,10 @@
             let report = stream.load_report().and_then(orca::parse);
             return AttemptOutcome { report, ..stream_state.into_outcome() };
         }
+        if !had_end_mark && stream.has_end_mark() && stream_state.has_output {
+            // Only comments may follow. However many come, the end must come within the stall time.
+            conn.set_deadline(Some(Instant::now() + limits.stall_timeout));
+        }
         match conn.fill() {
             Ok(()) => {}
             Err(NetError::Closed) if head.framing == Framing::UntilClose => stream.close(),
--- a/crates/front/src/engines/stream/tests.rs
+++ b/crates/front/src/engines/stream/tests.rs
@@ -1,6 +1,5 @@
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpListener;
-use std::time::Instant;
 
 use elderstage_net::connect;
 use elderstage_protocol::http;
@@ -123,3 +122,19 @@
     });
     assert_eq!(outcome.evidence, Evidence::Broke);
 }
+
+/// Guards against clients that wait for nothing: comments after the end mark do not extend the stall time.
+#[test]
+fn comments_after_the_end_mark_do_not_hold_an_answer_open() {
+    let (outcome, text) = read_from(|stream| {
+        let bytes = response(Framing::Chunked, EVENTS);
+        stream.write_all(&bytes[..bytes.len() - http::LAST_CHUNK.len()]).unwrap();
+        stream.set_read_timeout(Some(STALL_TIMEOUT / 10)).unwrap();
+        let deadline = Instant::now() + MAX_WAIT;
+        // Until the front closes the connection.
+        while stream.write_all(b"3\r\n:.\n\r\n").is_ok() && !matches!(stream.read(&mut [0]), Ok(0)) {
+            assert!(Instant::now() < deadline, "the front still waits for the end of the body");
+        }
+    });
+    assert_eq!((outcome.evidence, text.as_str()), (Evidence::TimedOut, "a bowl"));
+}
