--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod play;
 pub mod report;
 pub mod rules;
+mod script;
