A rehearsal of one node: streams that end in every way, second answers, restarts

Need: the rehearsals played fronts of the MCP program only; the node's endings of streams were played by the review alone.

Change: elderstage rehearse plays scripts that begin with node-rehearsal: mock engines and discovery, the node as a process, clients planned from a seed; the checker judges from the records of clients, engines and discovery (answered, whole, effects, drains, pinned) and has a test for each rule that breaks it. rehearsals/node-endings plays 12 endings of streams between second answers, refusals and restarts.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -88,9 +88,12 @@
         /// Keep the files of the run (traffic, configurations, logs) in this folder.
         #[arg(long, value_name = "DIR")]
         keep: Option<PathBuf>,
-        /// Play only this many requests, with the script's times shortened in proportion.
+        /// Play only this many requests, with the script's times shortened in proportion; the steps of a node's day keep theirs.
         #[arg(long, value_name = "N")]
         requests: Option<u64>,
+        /// The program that is run as fronts or as the node, such as an earlier release; this one if not given.
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
     },
 }
 
@@ -115,8 +118,9 @@
         Command::Fleet { command } => fleet::run_fleet_command(&command),
         Command::Demo { listen } => demo::run(listen),
         Command::Measure { command } => measure::measure(&command),
-        Command::Rehearse { script, json, keep, requests } => {
-            rehearse::rehearse(&script, json.as_deref(), keep.as_deref(), requests)
+        Command::Rehearse { script, json, keep, requests, program } => {
+            let options = rehearse::RehearseOptions { json, keep, requests, program };
+            rehearse::rehearse(&script, &options)
         }
     });
     match result {
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -229,3 +229,17 @@
         }
     }
 }
+
+/// Streams end in every way, between second answers and restarts of a node. Guards against finished streams that are cut, and
+/// broken ones that are passed on as whole (`review/9`).
+#[test]
+fn shortened_day_of_stream_endings_breaks_no_rule() {
+    let report = rehearse("node-endings", "600");
+    assert_eq!(report["good"], true);
+    for (case, tally) in report["cases"].as_object().unwrap() {
+        let is_broken = ["no-last-chunk", "half", "event-after", "late-breaks", "500", "full"]
+            .iter()
+            .any(|part| case.contains(part));
+        assert_eq!(tally["served"].as_u64().unwrap() > 0, !is_broken, "{case}: {report}");
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`rules`]: checks the five rules on the recorded traffic.
 //! - [`report`]: the result of a day.
 //! - [`measure`]: measures a front against a baseline in the same run.
+//! - [`node_day`]: scripted days for one front node of the platform.
 //! - [`paths`]: simulates servers of which some addresses fail.
 //!
 //! The mock servers simulate engines and run no model.
@@ -15,6 +16,7 @@
 pub mod day;
 pub mod fleet;
 pub mod measure;
+pub mod node_day;
 pub mod paths;
 pub mod play;
 pub mod report;
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -115,12 +115,7 @@
             });
             (route.clone(), value)
         });
-        let rules = self.verdicts.iter().map(|verdict| {
-            let broken = verdict.violations.iter().map(|violation| {
-                json!({"at_us": violation.at_us, "of": violation.subject, "how": violation.description})
-            });
-            json!({"rule": verdict.rule, "judged": verdict.cases_judged, "broken": broken.collect::<Vec<_>>()})
-        });
+        let rules = self.verdicts.iter().map(RuleResult::json);
         json!({
             "rehearsal": self.name,
             "servers": "stand-ins",
@@ -139,17 +134,39 @@
     }
 }
 
-fn table(header: &[&str]) -> Table {
+pub(crate) fn table(header: &[&str]) -> Table {
     let mut table = Table::new();
     table.load_style(presets::UTF8_HORIZONTAL_ONLY).set_content_arrangement(ContentArrangement::Disabled);
     table.set_header(header);
     table
 }
 
-fn right_aligned(text: impl ToString) -> Cell {
+pub(crate) fn right_aligned(text: impl ToString) -> Cell {
     Cell::new(text).set_alignment(CellAlignment::Right)
 }
 
+/// Writes the results of the rules as a table, and the first violations.
+pub(crate) fn write_rules(f: &mut fmt::Formatter<'_>, results: &[RuleResult]) -> fmt::Result {
+    let mut rules = table(&["rule", "judged", "broken", "verdict"]);
+    for verdict in results {
+        let result = match (verdict.violations.is_empty(), verdict.cases_judged) {
+            (true, 0) => "not tried",
+            (true, _) => "kept",
+            (false, _) => "BROKEN",
+        };
+        let cells =
+            [right_aligned(verdict.cases_judged), right_aligned(verdict.violations.len()), Cell::new(result)];
+        rules.add_row([Cell::new(verdict.rule)].into_iter().chain(cells));
+    }
+    writeln!(f, "{rules}")?;
+    for verdict in results {
+        for violation in verdict.violations.iter().take(MAX_VIOLATIONS_SHOWN) {
+            writeln!(f, "  {}: {}: {}", verdict.rule, violation.subject, violation.description)?;
+        }
+    }
+    Ok(())
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "Rehearsal {} (stand-in engines, loopback)\n", self.name)?;
@@ -186,26 +203,7 @@
             requests.add_row(row);
         }
         writeln!(f, "{requests}\n")?;
-        let mut rules = table(&["rule", "judged", "broken", "verdict"]);
-        for verdict in &self.verdicts {
-            let result = match (verdict.violations.is_empty(), verdict.cases_judged) {
-                (true, 0) => "not tried",
-                (true, _) => "kept",
-                (false, _) => "BROKEN",
-            };
-            let cells = [
-                right_aligned(verdict.cases_judged),
-                right_aligned(verdict.violations.len()),
-                Cell::new(result),
-            ];
-            rules.add_row([Cell::new(verdict.rule)].into_iter().chain(cells));
-        }
-        writeln!(f, "{rules}")?;
-        for verdict in &self.verdicts {
-            for violation in verdict.violations.iter().take(MAX_VIOLATIONS_SHOWN) {
-                writeln!(f, "  {}: {}: {}", verdict.rule, violation.subject, violation.description)?;
-            }
-        }
+        write_rules(f, &self.verdicts)?;
         writeln!(
             f,
             "\n{} orders placed, {} faults, {:.1}% of the engines' work served no answer",
--- a/crates/rehearsal/src/rules/mod.rs
+++ b/crates/rehearsal/src/rules/mod.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeMap;
 
 use elderstage_standin::traffic::{Record, TrafficEvent};
+use serde_json::{Value, json};
 
 /// Whether a request of a class may be sent again after an attempt that may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,11 +69,19 @@
 }
 
 impl RuleResult {
-    fn new(rule: &'static str) -> RuleResult {
+    pub(crate) fn new(rule: &'static str) -> RuleResult {
         RuleResult { rule, cases_judged: 0, violations: Vec::new() }
     }
 
-    fn add_violation(&mut self, at_us: u64, subject: &str, description: impl Into<String>) {
+    /// The result as JSON.
+    pub(crate) fn json(&self) -> Value {
+        let broken = self.violations.iter().map(|violation| {
+            json!({"at_us": violation.at_us, "of": violation.subject, "how": violation.description})
+        });
+        json!({"rule": self.rule, "judged": self.cases_judged, "broken": broken.collect::<Vec<_>>()})
+    }
+
+    pub(crate) fn add_violation(&mut self, at_us: u64, subject: &str, description: impl Into<String>) {
         self.violations.push(Violation { at_us, subject: subject.into(), description: description.into() });
     }
 }
--- a/crates/standin/src/platform/engine.rs
+++ b/crates/standin/src/platform/engine.rs
@@ -11,7 +11,7 @@
 
 use elderstage_protocol::http::{self, Limits, Request};
 
-use super::{AttemptEnd, EngineEvent, Traffic};
+use super::{AttemptEnd, EngineEvent, StreamEnding, Traffic};
 
 /// Number of content events in an answer, and the pause after each.
 const ANSWER_EVENTS: usize = 6;
@@ -217,6 +217,9 @@
             _ => {}
         }
         self.traffic.release_state(trace);
+        if let Some(ending) = case.strip_prefix("ending-").and_then(StreamEnding::from_name) {
+            return self.stream_with_ending(stream, connection_id, trace, ending);
+        }
         let mut out = Vec::new();
         if case == "more-interim" {
             out.extend_from_slice(
@@ -274,6 +277,37 @@
         }
         (if sent { AttemptEnd::Served } else { AttemptEnd::MayHaveRun }, sent)
     }
+
+    /// Streams an answer that tells its request's id, and ends it in this way.
+    fn stream_with_ending(
+        &self,
+        stream: &mut TcpStream,
+        connection_id: u64,
+        trace: &str,
+        ending: StreamEnding,
+    ) -> (AttemptEnd, bool) {
+        let mut out = Vec::new();
+        http::write_stream_head(200, &[("content-type", "text/event-stream")], &mut out);
+        for event in answer_events(trace).split_inclusive("\n\n") {
+            ending.write_events(event, &mut out);
+            if stream.write_all(&out).is_err() {
+                return (AttemptEnd::MayHaveRun, false);
+            }
+            out.clear();
+            std::thread::sleep(EVENT_INTERVAL);
+        }
+        ending.write_end(&mut out);
+        self.traffic.end_request(trace, connection_id);
+        let is_finished = stream.write_all(&out).is_ok() && ending.is_finished();
+        (if is_finished { AttemptEnd::Served } else { AttemptEnd::MayHaveRun }, is_finished)
+    }
+}
+
+/// Returns the events of the answer to a request whose id names a [`StreamEnding`]. Lines end with LF.
+pub fn answer_events(trace: &str) -> String {
+    let event =
+        |n| format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{trace} t{n}\"}}}}]}}\n\n");
+    (0..ANSWER_EVENTS).map(event).collect::<String>() + FINAL_EVENTS
 }
 
 /// Returns the n-th content event of an answer.
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -6,6 +6,7 @@
 //! connection: simple enough that its record of the traffic can be trusted.
 
 mod discovery;
+mod ending;
 mod engine;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,8 +18,9 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 
-pub use discovery::Discovery;
-pub use engine::{Engine, Role, whole_answer};
+pub use discovery::{Discovery, SentHost, SentList, View};
+pub use ending::StreamEnding;
+pub use engine::{Engine, Role, answer_events, whole_answer};
 
 /// An event at an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
