--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -230,6 +230,16 @@
     }
 }
 
+/// Guards against finished answers that fail at a front, since their streams end with a comment or lines with CR.
+#[test]
+fn shortened_day_of_stream_endings_at_fronts_fails_no_request() {
+    let report = rehearse("stream-endings", "400");
+    assert_eq!(report["good"], true, "{report}");
+    for route in ["ask", "order"] {
+        assert!(report["routes"][route]["served"].as_u64().unwrap() > 0, "{report}");
+    }
+}
+
 /// Streams end in every way, between second answers and restarts of a node. Guards against finished streams that are cut, and
 /// broken ones that are passed on as whole (`review/9`).
 #[test]
--- a/crates/rehearsal/src/day/steps.rs
+++ b/crates/rehearsal/src/day/steps.rs
@@ -4,6 +4,7 @@
 
 use elderstage_config::{Directive, parse_number, parse_time};
 use elderstage_protocol::place::AddressFamily;
+use elderstage_standin::ending::StreamEnding;
 use elderstage_standin::host::AddressFault;
 use elderstage_standin::tool::ToolFault;
 
@@ -63,6 +64,8 @@
         /// Number of tokens after which each breaks.
         after: u64,
     },
+    /// An engine ends its streams in this way.
+    Ending(String, StreamEnding),
     /// The transfer of states between engines is slower by this factor.
     SlowLinks(f64),
     /// Sets the fault of the tool server.
@@ -183,6 +186,10 @@
             let (streams, after) = (streams.parse().ok()?, tokens.parse().ok()?);
             (Step::Break { engine: name(engine), streams, after }, None)
         }
+        ["ending", engine, ending] => (
+            Step::Ending(name(engine), StreamEnding::from_name(ending)?),
+            Some(Step::Ending(name(engine), StreamEnding::Plain)),
+        ),
         ["slow-links", times] => (Step::SlowLinks(parse_number(times)?), Some(Step::SlowLinks(1.0))),
         ["tool", "slow", time] => {
             (Step::Tool(ToolFault::Slow(duration(time)?)), Some(Step::Tool(ToolFault::None)))
@@ -226,6 +233,7 @@
         | Step::Freeze(engine, _)
         | Step::Handshake(engine, _)
         | Step::Break { engine, .. }
+        | Step::Ending(engine, _)
         | Step::List(engine, _) => (Some(engine), None, None),
         Step::FrontTerm(front) | Step::FrontKill(front) | Step::FrontStart(front) => {
             (None, Some(front), None)
--- a/crates/rehearsal/src/node_day/rules.rs
+++ b/crates/rehearsal/src/node_day/rules.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use elderstage_standin::ending::StreamEnding;
 use elderstage_standin::platform::{
-    AttemptEnd, EngineEvent, Role, SentHost, SentList, StreamEnding, Traffic, answer_events, whole_answer,
+    AttemptEnd, EngineEvent, Role, SentHost, SentList, Traffic, answer_events, whole_answer,
 };
 
 use super::clients::{ClientRecord, Effect};
@@ -79,7 +80,7 @@
 /// The events that a client of this request receives if its answer is whole.
 fn wanted_events(client: &ClientRecord) -> String {
     match client.case.strip_prefix("ending-").and_then(StreamEnding::from_name) {
-        Some(ending) => ending.events(&answer_events(&client.trace)),
+        Some(ending) => ending.events(&answer_events(&client.trace)).into_owned(),
         None => whole_answer(),
     }
 }
--- a/crates/rehearsal/src/node_day/script.rs
+++ b/crates/rehearsal/src/node_day/script.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use elderstage_config::{ConfigErrors, Directive, Position, parse_directives, parse_time};
-use elderstage_standin::platform::StreamEnding;
+use elderstage_standin::ending::StreamEnding;
 
 use crate::script::ScriptParser;
 
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -416,6 +416,9 @@
             Step::Break { engine, streams, after } => self.change_faults(engine, |faults| {
                 (faults.streams_to_break, faults.break_after_tokens) = (*streams, *after);
             }),
+            Step::Ending(engine, ending) => {
+                self.change_faults(engine, |faults| faults.stream_ending = *ending)
+            }
             Step::SlowLinks(times) => {
                 for engine in &self.fleet.site.engines {
                     self.change_faults(&engine.name, |faults| faults.link_slowdown = *times)?;
--- a/crates/rehearsal/tests/node_rules.rs
+++ b/crates/rehearsal/tests/node_rules.rs
@@ -7,9 +7,8 @@
 use elderstage_rehearsal::node_day::clients::{ClientRecord, Effect, plan_requests};
 use elderstage_rehearsal::node_day::rules::{DayRecords, check_rules};
 use elderstage_rehearsal::node_day::script::{NodeDay, NodeStep, OtherDiscovery};
-use elderstage_standin::platform::{
-    EngineEvent, Platform, SentHost, SentList, StreamEnding, answer_events, whole_answer,
-};
+use elderstage_standin::ending::StreamEnding;
+use elderstage_standin::platform::{EngineEvent, Platform, SentHost, SentList, answer_events, whole_answer};
 
 const LONG: Duration = Duration::from_secs(20);
 /// Time that the clients of these records wait.
--- a/crates/standin/src/platform/ending.rs
+++ b/crates/standin/src/ending.rs
@@ -1,16 +1,17 @@
 //! The ways in which a mock engine ends its streams.
 
+use std::borrow::Cow;
+
 use elderstage_protocol::http;
 
 /// Bytes of a chunk in [`StreamEnding::SmallChunks`].
 const SMALL_CHUNK_BYTES: usize = 3;
-/// A load report as a comment, without its line end.
-const REPORT: &str = ": Endpoint-Load-Metrics: TEXT lat_ms=10.5, x0=0.1, x1=0";
 
 /// How a stream ends, and how its lines and chunks do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StreamEnding {
     /// After the end mark.
+    #[default]
     Plain,
     /// With a load report in a comment that has no line end.
     Comment,
@@ -96,18 +97,20 @@
     }
 
     /// Converts events with lines that end with LF to the events of this stream.
-    pub fn events(self, events: &str) -> String {
-        events.replace('\n', self.line_end())
+    pub fn events(self, events: &str) -> Cow<'_, str> {
+        match self.line_end() {
+            "\n" => Cow::Borrowed(events),
+            line_end => Cow::Owned(events.replace('\n', line_end)),
+        }
     }
 
     /// What follows the end mark in the body.
-    fn last_lines(self) -> String {
+    fn last_lines(self, report: &str) -> String {
+        let comment = format!(": Endpoint-Load-Metrics: {report}");
         let lines = match self {
-            StreamEnding::Comment => REPORT.to_owned(),
-            StreamEnding::CommentLine | StreamEnding::CrComment | StreamEnding::SmallChunks => {
-                format!("{REPORT}\n")
-            }
-            StreamEnding::CommentBlock => format!("{REPORT}\n\n"),
+            StreamEnding::Comment => comment,
+            StreamEnding::CommentLine | StreamEnding::CrComment | StreamEnding::SmallChunks => comment + "\n",
+            StreamEnding::CommentBlock => comment + "\n\n",
             StreamEnding::HalfEvent => "data: {\"half\":".to_owned(),
             StreamEnding::EventAfter => "data: {\"after\":1}\n\n".to_owned(),
             _ => String::new(),
@@ -122,9 +125,9 @@
         events.as_bytes().chunks(chunk_bytes.max(1)).for_each(|chunk| http::write_chunk(chunk, out));
     }
 
-    /// Appends what follows the end mark to a chunked body.
-    pub fn write_end(self, out: &mut Vec<u8>) {
-        http::write_chunk(self.last_lines().as_bytes(), out);
+    /// Appends what follows the end mark to a chunked body. `report` is the value of a load report.
+    pub fn write_end(self, report: &str, out: &mut Vec<u8>) {
+        http::write_chunk(self.last_lines(report).as_bytes(), out);
         let missing = match self {
             StreamEnding::NoLastChunk => http::LAST_CHUNK.len(),
             StreamEnding::HalfLastChunk => 2,
--- a/crates/standin/src/host/mod.rs
+++ b/crates/standin/src/host/mod.rs
@@ -17,6 +17,7 @@
 use elderstage_net::{Endpoint, Listener, ShutdownHandle};
 use elderstage_protocol::orca;
 
+use crate::ending::StreamEnding;
 use crate::model::{Engine, EngineFault, EngineSpec};
 use crate::traffic::{Log, TrafficEvent, unix_us};
 pub use door::AddressFault;
@@ -57,6 +58,8 @@
     /// Number of next streams that break, and the number of tokens after which each breaks.
     pub streams_to_break: u32,
     pub break_after_tokens: u64,
+    /// How streams end.
+    pub stream_ending: StreamEnding,
     /// KV state transfers are slower by this factor; a value below 1 counts as 1.
     pub link_slowdown: f64,
 }
--- a/crates/standin/src/host/serve.rs
+++ b/crates/standin/src/host/serve.rs
@@ -11,12 +11,13 @@
 
 use elderstage_net::channel::{Receiver, channel};
 use elderstage_net::{Conn, EndpointPath, NetError, exchange, sleep};
-use elderstage_protocol::{engine, http, orca, sse};
+use elderstage_protocol::{engine, http, orca};
 use serde_json::{Value, json};
 
 use super::door::{AddressFault, SLOW_HANDSHAKE};
 use super::machine::{Command, JobUpdate};
 use super::{Shared, SocketFaults, lock};
+use crate::ending::StreamEnding;
 use crate::model::{Job, JobId, Load, RejectReason, Task, block_hashes};
 use crate::script;
 use crate::traffic::TrafficEvent;
@@ -302,6 +303,9 @@
     }
 }
 
+/// Time from the end mark to the end of a stream that does not end plainly.
+const STREAM_END_DELAY: Duration = Duration::from_millis(5);
+
 /// Serves a completion request: logs it, submits it to the model and sends what the model produces.
 fn serve_completion(
     shared: &Arc<Shared>,
@@ -501,7 +505,7 @@
             breaks.then_some(faults.break_after_tokens)
         };
         let report = current_report(self.shared, faults);
-        let (mut out, mut event) = (Vec::with_capacity(1024), Vec::with_capacity(256));
+        let (ending, mut out) = (faults.stream_ending, Vec::with_capacity(1024));
         let headers = [
             ("content-type", "text/event-stream"),
             (orca::REPORT_HEADER, report.as_str()),
@@ -526,18 +530,26 @@
                         let _ = self.conn.write(&out);
                         return ("broken", Ok(AfterRequest::Close));
                     }
-                    event.clear();
                     let data = engine::write_text_event(
                         &self.completion_request.model,
                         &self.turn.token_text(index),
                     );
-                    sse::write_event(None, &data, &mut event);
-                    http::write_chunk(&event, &mut out);
+                    write_event(&data, ending, &mut out);
                 }
                 Some(JobUpdate::AnswerDone { cached_tokens }) => {
-                    self.write_last_events(cached_tokens, &mut out);
+                    self.write_last_events(cached_tokens, ending, &mut out);
+                    if ending != StreamEnding::Plain {
+                        // The end comes in a packet of its own.
+                        if let Err(error) = self.conn.write(&out) {
+                            return ("left", Err(error));
+                        }
+                        out.clear();
+                        sleep(STREAM_END_DELAY);
+                    }
+                    ending.write_end(&report, &mut out);
                     return match self.conn.write(&out) {
-                        Ok(()) => ("served", Ok(AfterRequest::KeepOpen)),
+                        Ok(()) if ending.is_finished() => ("served", Ok(AfterRequest::KeepOpen)),
+                        Ok(()) => ("broken", Ok(AfterRequest::Close)),
                         Err(error) => ("left", Err(error)),
                     };
                 }
@@ -561,35 +573,30 @@
         }
     }
 
-    /// Appends the tool call, if any, the usage and the end of the stream.
-    fn write_last_events(&self, cached_tokens: u64, out: &mut Vec<u8>) {
-        let mut event = Vec::new();
+    /// Appends the tool call, if any, the usage and the end mark.
+    fn write_last_events(&self, cached_tokens: u64, ending: StreamEnding, out: &mut Vec<u8>) {
+        let model = &self.completion_request.model;
         let finish = match &self.turn.call {
             None => engine::FinishReason::Stop,
             Some((name, arguments)) => {
                 let function = engine::FunctionCall { name: name.clone(), arguments: arguments.clone() };
                 let call =
                     engine::ToolCall { id: format!("call-{}", self.id.0), kind: "function".into(), function };
-                sse::write_event(
-                    None,
-                    &engine::write_tool_call_event(&self.completion_request.model, &call),
-                    &mut event,
-                );
+                write_event(&engine::write_tool_call_event(model, &call), ending, out);
                 engine::FinishReason::ToolCalls
             }
         };
         let usage = self.usage(self.turn.token_count, cached_tokens);
-        sse::write_event(
-            None,
-            &engine::write_end_event(&self.completion_request.model, finish, usage),
-            &mut event,
-        );
-        sse::write_event(None, engine::STREAM_END_DATA, &mut event);
-        http::write_chunk(&event, out);
-        out.extend_from_slice(http::LAST_CHUNK);
+        write_event(&engine::write_end_event(model, finish, usage), ending, out);
+        write_event(engine::STREAM_END_DATA, ending, out);
     }
 }
 
+/// Appends an event with this data to a chunked body.
+fn write_event(data: &str, ending: StreamEnding, out: &mut Vec<u8>) {
+    ending.write_events(&format!("data: {data}\n\n"), out);
+}
+
 /// Fetches a KV state from its reader. Takes the time that its transfer over the link would take. Returns
 /// whether the state was received.
 fn fetch_state(shared: &Shared, params: &engine::KvParams) -> bool {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`model`]: a model of one engine without I/O and clock: slots, queue, KV memory, speeds, prefix cache,
 //!   cold start, crash under load, faults. [`host`] drives it on sockets.
+//! - [`ending`]: the ways in which engines end their streams.
 //! - [`script`]: the answers of engines, controlled by markers in the prompt.
 //! - [`host`]: an engine that serves the engines' HTTP API.
 //! - [`platform`]: a mock of the platform around a front node: engines and discovery.
@@ -12,6 +13,7 @@
 //!
 //! The engines are models. Their speeds are not measurements of real engines.
 
+pub mod ending;
 pub mod host;
 pub mod model;
 pub mod peer;
--- a/crates/standin/src/platform/engine.rs
+++ b/crates/standin/src/platform/engine.rs
@@ -11,7 +11,8 @@
 
 use elderstage_protocol::http::{self, Limits, Request};
 
-use super::{AttemptEnd, EngineEvent, StreamEnding, Traffic};
+use super::{AttemptEnd, EngineEvent, Traffic};
+use crate::ending::StreamEnding;
 
 /// Number of content events in an answer, and the pause after each.
 const ANSWER_EVENTS: usize = 6;
@@ -22,6 +23,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Limit on the wait for the peer to close a connection that gets no further bytes.
 const SILENT_TIMEOUT: Duration = Duration::from_secs(8);
+/// The load that every engine reports.
+const LOAD_REPORT: &str = "TEXT lat_ms=10.5, x0=0.1, x1=0";
 /// Number of bytes sent of an endless head or chunk.
 const ENDLESS_BYTES: usize = 8 << 20;
 
@@ -120,7 +123,7 @@
         }
         if head.method == "GET" && head.target == "/-/load" {
             self.traffic.record(&self.name, self.role, EngineEvent::Probed);
-            return EngineHandler::send_response(stream, 200, &[], b"TEXT lat_ms=10.5, x0=0.1, x1=0");
+            return EngineHandler::send_response(stream, 200, &[], LOAD_REPORT.as_bytes());
         }
         let trace = head.headers.get("x-trace-id").unwrap_or_default().to_owned();
         if head.target != "/v1/chat/completions" || trace.is_empty() || !body.starts_with(b"{") {
@@ -296,7 +299,7 @@
             out.clear();
             std::thread::sleep(EVENT_INTERVAL);
         }
-        ending.write_end(&mut out);
+        ending.write_end(LOAD_REPORT, &mut out);
         self.traffic.end_request(trace, connection_id);
         let is_finished = stream.write_all(&out).is_ok() && ending.is_finished();
         (if is_finished { AttemptEnd::Served } else { AttemptEnd::MayHaveRun }, is_finished)
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -6,7 +6,6 @@
 //! connection: simple enough that its record of the traffic can be trusted.
 
 mod discovery;
-mod ending;
 mod engine;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,7 +18,6 @@
 use socket2::SockRef;
 
 pub use discovery::{Discovery, SentHost, SentList, View};
-pub use ending::StreamEnding;
 pub use engine::{Engine, Role, answer_events, whole_answer};
 
 /// An event at an engine.
