An older list takes back no drain, no removal and no start; its own drains count at once

Cause: a list of a lower version was refused for 3 s and then believed in everything, as if discovery had numbered anew. One that lags looks the same. On related paths: a removal, a start, a drain known from the configuration at a restart; and a drain told under new numbers was not heeded for 3 s.

Change: platform::list_history keeps what was told of each engine with its version. Drains go first: an engine that leaves stays so until a list of a higher version than the one that told it, or a later start; a drain or a removal in a lower version counts at once (Watch passes these entries on while the rest waits). What a really renumbered discovery can't do: have an engine used again that drained and has not started anew, until its numbers pass the old ones.

--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use elderstage_standin::platform::Discovery;
 use serde_json::json;
 
 use crate::bed::server_list;
@@ -167,6 +168,58 @@
     );
 }
 
+/// Sends requests until one goes to this writer.
+fn until_used(platform: &Platform, node: &Node, writer: &str, tag: &str) {
+    let (mut n, before) = (0, begun_at(platform, writer));
+    let is_used = || {
+        n += 1;
+        assert!(is_served(&node.request(&format!("{tag}-{n}"), "plain")));
+        begun_at(platform, writer) > before
+    };
+    assert!(Platform::wait_until(LONG, is_used), "no request goes to {writer}");
+}
+
+/// Guards against requests to an engine that drains: a new configuration names a discovery whose list is older, since it
+/// lags or has numbered its lists anew, and that list took the drain back (`review/10`). What that list adds is used, also
+/// by the next process of the node.
+#[test]
+fn an_older_list_of_another_discovery_takes_back_no_drain() {
+    let platform = Platform::start(1, 3).unwrap();
+    let entry = |name: &str, started_ms: u64| {
+        let mut host = host_of(&platform, name, "SERVING");
+        host["born_ms"] = started_ms.into();
+        host
+    };
+    let first =
+        Discovery::start(["reader-0", "writer-0", "writer-1"].map(|name| entry(name, 0)).to_vec()).unwrap();
+    let configure = |config: &mut Value, discovery: &Discovery| {
+        config["discovery"] = discovery.addr.to_string().into();
+        let (version, hosts) = first.newest();
+        config["known"] = json!({"seq": version, "whole": true, "hosts": hosts});
+    };
+    let node = start_node(&platform, |config| configure(config, &first));
+    first.publish_change(vec![host_of(&platform, "writer-0", "DRAINING")]);
+    until_avoided(&platform, &node, &["writer-0"], "first");
+    let drained_at = begun_at(&platform, "writer-0");
+    // Its list has a lower version, the drained engine runs by it, and one engine is only on it.
+    let second = Discovery::start(Platform::host_list(&platform.engines, |_| "SERVING")).unwrap();
+    let mut config = platform.config(node.addr, second.addr, true);
+    configure(&mut config, &second);
+    std::fs::write(&node.config, config.to_string()).unwrap();
+    node.signal("HUP");
+    until_used(&platform, &node, "writer-2", "second");
+    until_avoided(&platform, &node, &["writer-0"], "second-avoided");
+    assert_eq!(begun_at(&platform, "writer-0"), drained_at, "an older list took a drain back");
+    drop(node);
+    let node = start_node(&platform, |config| configure(config, &second));
+    until_used(&platform, &node, "writer-2", "third");
+    until_avoided(&platform, &node, &["writer-0"], "third-avoided");
+    assert_eq!(begun_at(&platform, "writer-0"), drained_at, "an older list took a drain back at a restart");
+    // A later start is something newer.
+    second.publish_change(vec![entry("writer-0", 1_000)]);
+    until_used(&platform, &node, "writer-0", "restarted");
+}
+
 /// The list entry of an engine.
 fn host_of(platform: &Platform, name: &str, health: &'static str) -> Value {
     let hosts = Platform::host_list(&platform.engines, |_| health);
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -253,3 +253,13 @@
         assert_eq!(tally["served"].as_u64().unwrap() > 0, !is_broken, "{case}: {report}");
     }
 }
+
+/// Engines drain right before the node gets a discovery whose list is older. Guards against requests to an engine that
+/// drains (`review/10`).
+#[test]
+fn shortened_day_of_older_lists_breaks_no_rule() {
+    let report = rehearse("node-older-lists", "480");
+    assert_eq!(report["good"], true);
+    let drains = report["rules"].as_array().unwrap().iter().find(|rule| rule["rule"] == "drains").unwrap();
+    assert!(drains["judged"].as_u64().unwrap() > 0, "{report}");
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -11,8 +11,9 @@
 use elderstage_net::owner::Clock;
 use elderstage_net::{Endpoint, NetError, connect, sleep};
 use elderstage_platform::hub::Input;
+use elderstage_platform::list::List;
 use elderstage_platform::values::MAX_OBJECT_BYTES;
-use elderstage_platform::watch::Watch;
+use elderstage_platform::watch::{Watch, WatchError};
 use elderstage_protocol::http::{BodyDecoder, Framing, Limits};
 
 use crate::Shared;
@@ -52,6 +53,15 @@
     NetError::Io(std::io::Error::other(error.to_string()))
 }
 
+/// Submits a list to the event loop.
+fn submit_list(shared: &Shared, clock: Clock, list: List) {
+    let (seq, whole, hosts) = (list.version, list.is_complete, list.hosts.len());
+    tracing::debug!(target: "discovery", seq, whole, hosts);
+    shared.submit(Event::HubInput(Input::WallClock { ahead: wall_clock_offset_us(clock) }));
+    shared.submit(Event::HubInput(Input::ListReceived { list, restored: false }));
+    hold_at!("listed-{seq}");
+}
+
 /// Watches over one connection. Returns `Ok` when discovery's address has changed.
 fn watch_session(
     shared: &Arc<Shared>,
@@ -88,13 +98,16 @@
             Some(body) => {
                 let n = body.push(conn.pending(), &mut received)?;
                 conn.consume(n);
-                for list in watch.push(clock.now(), &received, &shared.names).map_err(io_error)? {
-                    let (seq, whole, hosts) = (list.version, list.is_complete, list.hosts.len());
-                    tracing::debug!(target: "discovery", seq, whole, hosts);
-                    shared.submit(Event::HubInput(Input::WallClock { ahead: wall_clock_offset_us(clock) }));
-                    shared.submit(Event::HubInput(Input::ListReceived { list, restored: false }));
+                let lists = watch.push(clock.now(), &received, &shared.names).map_err(|error| {
+                    let message = io_error(&error);
+                    if let WatchError::OlderVersion { leaving, .. } = error {
+                        submit_list(shared, clock, *leaving);
+                    }
+                    message
+                })?;
+                for list in lists {
+                    submit_list(shared, clock, list);
                     shared.has_server_list.store(true, Ordering::SeqCst);
-                    hold_at!("listed-{seq}");
                 }
                 received.clear();
                 if body.is_done() && body.framing() != Framing::UntilClose {
--- a/crates/platform/src/hub/messages.rs
+++ b/crates/platform/src/hub/messages.rs
@@ -129,4 +129,6 @@
     pub releases: u64,
     /// Waves of release calls after the first wave of a release.
     pub releases_again: u64,
+    /// Entries of lists that contradicted a newer list, such as one by which an engine that drains would run.
+    pub overruled_entries: u64,
 }
--- a/crates/platform/src/hub/mod.rs
+++ b/crates/platform/src/hub/mod.rs
@@ -21,6 +21,7 @@
 use crate::engine_start::EngineStarts;
 use crate::leases::Leases;
 use crate::list::{Directory, Host, List};
+use crate::list_history::ListHistory;
 use crate::reach::Reachability;
 use crate::report;
 
@@ -61,6 +62,7 @@
     /// For each class, whether its requests may run any number of times.
     repeatable_classes: Vec<bool>,
     directory: Directory,
+    list_history: ListHistory,
     engine_starts: EngineStarts,
     /// For each listed server, whether it is a reader.
     readers: HashMap<ServerId, bool>,
@@ -94,6 +96,7 @@
                 .map(|class| class.repeat == RepeatPolicy::Safe)
                 .collect(),
             directory: Directory::default(),
+            list_history: ListHistory::default(),
             engine_starts: EngineStarts::default(),
             readers: HashMap::new(),
             open_requests: BTreeMap::new(),
@@ -235,6 +238,8 @@
 
     /// Applies a list from discovery to the directory and passes it on to the router.
     fn apply_list(&mut self, now: Time, mut list: List, restored: bool, commands: &mut Vec<Command>) {
+        self.list_history.reconcile(&mut list);
+        self.counts.overruled_entries = self.list_history.overruled_entries();
         for Host { entry, .. } in &mut list.hosts {
             entry.ready_at = self.engine_starts.to_node_clock(&entry.server, entry.ready_at, now);
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod kept;
 pub mod leases;
 pub mod list;
+pub mod list_history;
 pub mod reach;
 pub mod reply;
 pub mod report;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -79,6 +79,14 @@
     pub hosts: Vec<Host>,
 }
 
+impl List {
+    /// Reduces the list to changes: the entries of servers that drain or are gone.
+    pub fn into_leaving(mut self) -> List {
+        self.hosts.retain(|host| host.entry.listed != ServerStatus::Running);
+        List { is_complete: false, ..self }
+    }
+}
+
 /// The listed servers and their addresses.
 #[derive(Debug, Default)]
 pub struct Directory {
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -1,6 +1,7 @@
 //! The watch on discovery: parses the bytes of its answer, decides when a watch is broken and when the next one may be
-//! opened. It does no I/O; the caller owns the sockets and the clock. It never accepts a list that is older than the newest
-//! one, unless discovery has renumbered its versions.
+//! opened. It does no I/O; the caller owns the sockets and the clock. A list that is older than the newest one is accepted
+//! only if discovery may have renumbered its versions; what it says of engines that leave counts at once. What such a list may
+//! change is decided in [`crate::list_history`].
 //!
 //! A single deadline covers silence. The head of an answer comes at once, because the agent runs on the node's own machine,
 //! and an empty line comes at least every `HEARTBEAT_INTERVAL`. A watch without either is broken, whatever the state of
@@ -26,9 +27,9 @@
 /// Shortest time between the starts of two watches, in microseconds.
 const RETRY_SPACING: Time = 100_000;
 
-/// A discovery that sends only older versions for this time, in microseconds, has renumbered its versions. Until then it is
-/// assumed to lag, and its lists would undo newer ones. The time is half of the time after which the platform's rules expect
-/// the node to act on a list.
+/// A discovery that sends only older versions for this time, in microseconds, may have renumbered its versions, and its lists
+/// are accepted. Until then it is assumed to lag: its lists lack the newest engines. The time is half of the time after which
+/// the platform's rules expect the node to act on a list.
 const RENUMBERED_AFTER: Time = 3_000_000;
 
 /// Why a watch has to be replaced.
@@ -36,7 +37,12 @@
 pub enum WatchError {
     /// The list is older than the newest one.
     #[error("version {found} is older than {known}: whole lists are requested until discovery has caught up")]
-    OlderVersion { found: u64, known: u64 },
+    OlderVersion {
+        found: u64,
+        known: u64,
+        /// Its entries of engines that drain or are gone. They count nevertheless: discovery may have renumbered.
+        leaving: Box<List>,
+    },
     /// An object is not a valid list.
     #[error("unreadable list: {0}")]
     List(#[from] ListError),
@@ -105,7 +111,13 @@
             self.deadline = now + HEARTBEAT_INTERVAL + HEARTBEAT_SLACK;
             if let Item::Object(text) = item {
                 let list = Directory::parse(&text, names)?;
-                self.check_version(now, &list)?;
+                if self.must_wait(now, &list) {
+                    let (found, known) = (list.version, self.newest);
+                    let leaving = Box::new(list.into_leaving());
+                    return Err(WatchError::OlderVersion { found, known, leaving });
+                }
+                self.older_since = None;
+                self.newest = list.version;
                 self.seq = list.version;
                 lists.push(list);
             }
@@ -113,18 +125,14 @@
         Ok(())
     }
 
-    /// Rejects a list that is older than the newest one, because it would undo a drain that is already known. A whole list
-    /// is accepted if only older versions have come for [`RENUMBERED_AFTER`].
-    fn check_version(&mut self, now: Time, list: &List) -> Result<(), WatchError> {
-        if list.version < self.newest {
-            let since = *self.older_since.get_or_insert(now);
-            if !(list.is_complete && now >= since + RENUMBERED_AFTER) {
-                return Err(WatchError::OlderVersion { found: list.version, known: self.newest });
-            }
+    /// Returns whether a list is older than the newest one and is not accepted yet. A whole list is accepted if only older
+    /// versions have come for [`RENUMBERED_AFTER`].
+    fn must_wait(&mut self, now: Time, list: &List) -> bool {
+        if list.version >= self.newest {
+            return false;
         }
-        self.older_since = None;
-        self.newest = list.version;
-        Ok(())
+        let since = *self.older_since.get_or_insert(now);
+        !(list.is_complete && now >= since + RENUMBERED_AFTER)
     }
 
     /// Returns when the watch counts as broken, unless a complete item comes before.
--- a/crates/platform/tests/watch.rs
+++ b/crates/platform/tests/watch.rs
@@ -4,7 +4,7 @@
 use elderstage::{ServerStatus, Time};
 use elderstage_platform::list::List;
 use elderstage_platform::values::{Item, ObjectSplitter, SplitError};
-use elderstage_platform::watch::Watch;
+use elderstage_platform::watch::{Watch, WatchError};
 
 const MS: Time = 1_000;
 const START: Time = 5_000_000;
@@ -203,3 +203,26 @@
     assert!(now - START >= 3_000 * MS && now - START <= 3_200 * MS, "{} ms", (now - START) / MS);
     assert_eq!(take_lists(&mut watch, now, &list(3, "DRAINING")), [(3, ServerStatus::Draining)]);
 }
+
+/// Guards against requests to an engine that drains: a discovery that has renumbered its versions tells the drain, and its
+/// list is taken for an old one. Of the list that waits, the entries of engines that leave count at once.
+#[test]
+fn the_drains_of_an_older_version_count_at_once() {
+    let mut watch = Watch::new(9);
+    watch.start(START);
+    let push = |watch: &mut Watch, health: &str| match watch.push(START, list(2, health).as_bytes(), &names())
+    {
+        Err(WatchError::OlderVersion { found: 2, known: 9, leaving }) => *leaving,
+        other => panic!("{health}: {other:?}"),
+    };
+    for (health, statuses) in [
+        ("SERVING", vec![]),
+        ("DRAINING", vec![ServerStatus::Draining]),
+        ("DELETED", vec![ServerStatus::Gone]),
+    ] {
+        let leaving = push(&mut watch, health);
+        let listed: Vec<_> = leaving.hosts.iter().map(|host| host.entry.listed).collect();
+        assert_eq!((leaving.version, leaving.is_complete, listed), (2, false, statuses), "{health}");
+        assert_eq!(watch.start(START), 0);
+    }
+}
