node: the time of a request that was sent behind another runs from its arrival

Cause: the time ran from the parsing of the body, and bytes are received ahead while the request before them is served.

What is over is refused as before, and no engine gets it.

Evidence: retries::the_wait_behind_another_request_is_subtracted_from_the_time_left fails on the text before ("a request is begun after its client's time").

--- a/crates/cli/tests/node/retries.rs
+++ b/crates/cli/tests/node/retries.rs
@@ -100,6 +100,46 @@
     assert!(is_complete_stream(&client.answer()));
 }
 
+/// Guards against requests that are begun after their client's time, and engines that are told more than is left: the time of
+/// a request that was sent behind another ran from the end of that one's stream.
+#[test]
+fn the_wait_behind_another_request_is_subtracted_from_the_time_left() {
+    for expires_ms in [1_000, 30_000] {
+        let bed = TestBed::new(1, 1);
+        let node = bed.node(|_| {});
+        let mut client = node.client();
+        client.send(&(long_lived_chat("first-1", "plain") + &chat("behind-1", "once", expires_ms)));
+        let sent = Instant::now();
+        let (mut connection, _) = bed.readers[0].next_request();
+        connection.answer_prefill();
+        bed.readers[0].keep_open(connection);
+        let (mut connection, _) = bed.writers[0].next_request();
+        connection.begin_stream();
+        std::thread::sleep(Duration::from_millis(1_200));
+        let waited = sent.elapsed().as_millis().min(1_200);
+        connection.end_stream();
+        bed.writers[0].keep_open(connection);
+        assert!(is_complete_stream(&client.answer()));
+        if expires_ms == 1_000 {
+            assert_eq!(client.answer().status, 503, "it is over");
+            node.wait_until_processed();
+            assert!(
+                bed.readers[0].try_next_request().is_none(),
+                "a request is begun after its client's time"
+            );
+            continue;
+        }
+        let (mut connection, request) = bed.readers[0].next_request();
+        assert_eq!(request.trace(), "behind-1");
+        assert!(request.expires_ms() <= 30_000 - waited, "{} ms told after {waited}", request.expires_ms());
+        connection.answer_prefill();
+        let (mut connection, request) = bed.writers[0].next_request();
+        assert!(request.expires_ms() <= 30_000 - waited, "{} ms told after {waited}", request.expires_ms());
+        connection.send_stream();
+        assert!(is_complete_stream(&client.answer()));
+    }
+}
+
 /// Guards against too long a time left: a request that waits for memory may have arrived completely before.
 /// Its wait was not subtracted from the time left that engines are told.
 #[test]
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -11,6 +11,7 @@
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use thiserror::Error;
 
+use crate::arrivals::Arrivals;
 use crate::budget::IoBudget;
 use crate::stream::Stream;
 use crate::watch::WaitLimit;
@@ -88,6 +89,8 @@
     budget: IoBudget,
     /// Reads that found bytes since one that found none.
     reads_since_empty: u32,
+    /// When the bytes arrived, if that is recorded.
+    arrivals: Option<Arrivals>,
     /// Maximum sizes of heads and bodies that are accepted from the peer.
     pub limits: Limits,
     /// Keeps the descriptor open until `io` has deregistered it (fields are dropped in this order). If it
@@ -107,6 +110,7 @@
             wait_limit: WaitLimit::new(io.waker()),
             budget: IoBudget::new(),
             reads_since_empty: 0,
+            arrivals: None,
             io,
             buffer: Vec::new(),
             consumed: 0,
@@ -161,6 +165,17 @@
         self.write_timeout = time;
     }
 
+    /// Records from now on when bytes arrive. Must be called before the first read.
+    pub fn record_arrivals(&mut self) {
+        self.arrivals = Some(Arrivals::default());
+    }
+
+    /// When the last consumed byte arrived, at the latest. `None`: nothing was consumed, or it is not recorded.
+    pub fn last_consumed_at(&mut self) -> Option<Instant> {
+        let pending = self.pending().len();
+        self.arrivals.as_mut()?.last_consumed_at(pending)
+    }
+
     /// How long ago the last bytes were written; `None` if none were.
     pub fn since_last_write(&self) -> Option<Duration> {
         self.last_write.map(|at| at.elapsed())
@@ -221,6 +236,9 @@
         match read {
             Ok(n) => {
                 self.reads_since_empty = self.reads_since_empty.saturating_add(1);
+                if let Some(arrivals) = &mut self.arrivals {
+                    arrivals.record(n, Instant::now());
+                }
                 Ok(Some(n))
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate makes no decisions: callers get bytes, message heads and errors. A coroutine's stack is small
 //! and of fixed size ([`STACK_WORDS`]), so code that needs a deeper stack must not run in one.
 
+mod arrivals;
 mod budget;
 mod client;
 mod conn;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -90,6 +90,7 @@
 /// Serves one request after the other until the connection is to be closed.
 fn serve_requests(shared: &Arc<Shared>, conn: &mut Conn, permit: &ConnectionPermit) -> CloseReason {
     conn.limits = REQUEST_LIMITS;
+    conn.record_arrivals();
     conn.set_write_timeout(Some(WRITE_TIMEOUT));
     let accepted_at = Instant::now();
     let mut is_first = true;
@@ -228,8 +229,9 @@
 struct ReceivedBody {
     bytes: Vec<u8>,
     memory_permit: MemoryPermit,
-    /// The latest time at which the last byte may have arrived. A body that waited for memory may have
-    /// arrived before the wait, so the time of the wait is subtracted.
+    /// The latest time at which the last byte may have arrived. It may have been received ahead, while the
+    /// request before it was served. A body that waited for memory may have arrived before the wait, so the
+    /// time of the wait is subtracted.
     received_at: Instant,
 }
 
@@ -274,7 +276,11 @@
     let memory_wait = started.elapsed();
     let received = conn.send_continue(head).and_then(|()| conn.receive_body(head.framing));
     match received {
-        Ok(bytes) => Ok(ReceivedBody { bytes, memory_permit, received_at: Instant::now() - memory_wait }),
+        Ok(bytes) => {
+            let after_wait = Instant::now() - memory_wait;
+            let received_at = conn.last_consumed_at().map_or(after_wait, |at| at.min(after_wait));
+            Ok(ReceivedBody { bytes, memory_permit, received_at })
+        }
         Err(NetError::Http(error)) => {
             let status = if matches!(error, HttpError::BodyTooLarge(_)) { 413 } else { error.status() };
             Err((status, error.to_string()))
