platform: the role of an engine follows from the settings in force, not from its last list

Cause: whether an engine is a reader was worked out when a list came and kept. Change: the hub keeps the engines' kinds and asks the settings in force.

Evidence: both new tests of crates/platform/tests/hub.rs fail on the text before (no release; is_repeatable Some(true) for an unsafe class).

--- a/crates/platform/src/hub/mod.rs
+++ b/crates/platform/src/hub/mod.rs
@@ -64,8 +64,8 @@
     directory: Directory,
     list_history: ListHistory,
     engine_starts: EngineStarts,
-    /// For each listed server, whether it is a reader.
-    readers: HashMap<ServerId, bool>,
+    /// The kind of each listed server, as its position in the settings. Its role follows from the settings in force.
+    kinds: HashMap<ServerId, usize>,
     open_requests: BTreeMap<RequestId, OpenRequest>,
     ids_by_trace: HashMap<Box<str>, RequestId>,
     leases: Leases,
@@ -98,7 +98,7 @@
             directory: Directory::default(),
             list_history: ListHistory::default(),
             engine_starts: EngineStarts::default(),
-            readers: HashMap::new(),
+            kinds: HashMap::new(),
             open_requests: BTreeMap::new(),
             ids_by_trace: HashMap::new(),
             leases: Leases::default(),
@@ -244,21 +244,25 @@
             entry.ready_at = self.engine_starts.to_node_clock(&entry.server, entry.ready_at, now);
         }
         if list.is_complete {
-            self.readers.clear();
+            self.kinds.clear();
         }
-        for host in &list.hosts {
-            let is_reader = self.roles.get(host.entry.kind) == Some(&Role::Prefill);
-            self.readers.insert(host.entry.server.clone(), is_reader);
+        for Host { entry, .. } in &list.hosts {
+            self.kinds.insert(entry.server.clone(), entry.kind);
         }
         let (mode, entries) = self.directory.apply(list, restored);
         let directory = &self.directory;
-        self.readers.retain(|server, _| directory.address(server).is_some());
+        self.kinds.retain(|server, _| directory.address(server).is_some());
         self.reachability.retain_listed(directory);
         self.engine_starts.retain_listed(directory);
         self.withdraw_from_leaving_engines(commands);
         self.events.push_back(Event::Servers { mode, entries });
     }
 
+    /// Returns whether a server only reads prompts. It then has no effect, and holds state for a writer.
+    fn is_reader(&self, server: &ServerId) -> bool {
+        self.kinds.get(server).is_some_and(|kind| self.roles.get(*kind) == Some(&Role::Prefill))
+    }
+
     /// Withdraws the attempts at engines that are no longer running. Such an attempt may have been decided before its
     /// engine was told to drain, and may still wait for its connection.
     fn withdraw_from_leaving_engines(&self, commands: &mut Vec<Command>) {
--- a/crates/platform/src/hub/requests.rs
+++ b/crates/platform/src/hub/requests.rs
@@ -141,11 +141,11 @@
         timeout: Time,
         commands: &mut Vec<Command>,
     ) {
+        let is_prompt_read = self.is_reader(&server);
         let Some(request) = self.open_requests.get_mut(&id) else { return };
         let attempt = request.attempts;
         request.attempts += 1;
         self.counts.attempts += 1;
-        let is_prompt_read = self.readers.get(&server).copied().unwrap_or(false);
         let harmless = is_prompt_read || request.is_repeatable;
         let address = self.directory.address(&server);
         request.in_flight =
--- a/crates/platform/tests/hub.rs
+++ b/crates/platform/tests/hub.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use elderstage::{Outcome, RequestId, ServerStatus, Settings, Time, example_settings};
+use elderstage::{Outcome, RepeatPolicy, RequestId, Role, ServerStatus, Settings, Time, example_settings};
 use elderstage_platform::hub::{Command, FinalAnswer, Input};
 use elderstage_platform::list::List;
 use harness::{
@@ -332,3 +332,48 @@
         );
     }
 }
+
+/// Changes the role of kind 0 by a new configuration.
+fn change_role(harness: &mut Harness, settings: &Settings, role: Role) {
+    let settings = Settings { roles: vec![role, Role::Decode], ..settings.clone() };
+    harness.handle(Input::Settings { settings: Box::new(settings) });
+}
+
+/// Guards against states that stay held: a new configuration makes readers of a kind, and what they hold was not noted,
+/// since roles were taken from lists alone.
+#[test]
+fn a_state_is_released_at_an_engine_that_became_a_reader() {
+    let settings = Settings { roles: vec![Role::Mixed, Role::Decode], ..example_settings() };
+    let mut harness = Harness::new(settings.clone());
+    change_role(&mut harness, &settings, Role::Prefill);
+    let (attempt, reader) = sent_attempt(&harness.arrive(1, "a")).unwrap();
+    let commands = harness.end_attempt(1, attempt, Outcome::Read);
+    assert_eq!(sent_attempt(&commands), Some((1, "writer".into())));
+    let mut commands = harness.end_attempt(1, 1, Outcome::NoConnection);
+    commands.extend(harness.handle(Input::ClientDisconnected { id: RequestId(1) }));
+    commands.extend(harness.advance(settings.release_time_limit));
+    assert!(called_engines(&commands).contains(&reader), "{commands:?}");
+}
+
+/// Guards against orders that run twice: a new configuration lets readers write, and an attempt there counted as one
+/// without effect.
+#[test]
+fn an_attempt_at_an_engine_that_may_write_by_now_is_not_repeated() {
+    let mut settings = example_settings();
+    settings.classes[0].repeat = RepeatPolicy::Unsafe;
+    let mut harness = Harness::new(settings.clone());
+    let is_repeatable = |commands: &[Command]| {
+        commands.iter().find_map(|command| match command {
+            Command::Send { is_repeatable, .. } => Some(*is_repeatable),
+            _ => None,
+        })
+    };
+    let before = harness.arrive(1, "read");
+    assert_eq!(is_repeatable(&before), Some(true), "a read has no effect");
+    change_role(&mut harness, &settings, Role::Mixed);
+    for id in 2..10 {
+        let commands = harness.arrive(id, &format!("order-{id}"));
+        assert_eq!(is_repeatable(&commands), Some(false), "{commands:?}");
+        harness.end_attempt(id, 0, Outcome::Served);
+    }
+}
