node: a discovery that is slow gives its lists: a late head, a list in pieces

Cause: slow was taken for silent. Change: one watch without a head is kept open beside the next ones, and whichever is answered first counts; a list may take its time as long as pieces come. Both times double while they are too short.

The test a_watch_that_breaks_anywhere_is_reopened_without_loss waited for the close of its first, silent watch before it answered another one. That watch is kept until another is answered now, so the same check stands behind that.

--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -1,6 +1,6 @@
 //! The watch on discovery: silence, resets, lists in every form, and a change of discovery's address.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use elderstage_standin::platform::Discovery;
 use serde_json::json;
@@ -256,8 +256,8 @@
     start_node(platform, |config| config["discovery"] = discovery.addr.to_string().into())
 }
 
-/// The first watch is accepted and never answered. The second is reset within its head, the third within a
-/// line. The fourth breaks off a line with an empty one. Each time the next watch delivers everything.
+/// The first watch is accepted and never answered. It is kept, in case its head is late, until another one is
+/// answered. The second is reset within its head, the third within a line. The fourth breaks off a line with an empty one. Each time the next watch delivers everything.
 #[test]
 fn a_watch_that_breaks_anywhere_is_reopened_without_loss() {
     let platform = Platform::start(1, 2).unwrap();
@@ -266,7 +266,6 @@
     let (mut silent, index) = next_watch(&discovery);
     assert_eq!(index, "0");
     let (mut connection, _) = next_watch(&discovery);
-    assert!(!silent.wait_until_closed(), "the silent watch sent more bytes");
     connection.write("HTTP/1.1 200 OK\r\ntransfer-enc");
     connection.reset();
     let (mut connection, index) = next_watch(&discovery);
@@ -279,6 +278,7 @@
     let drain = all(6, &draining("writer-0"));
     connection.write(&chunk(&drain[..drain.len() / 2]));
     node.wait_until_processed();
+    assert!(!silent.wait_until_closed(), "the silent watch sent more bytes");
     connection.reset();
     let (mut connection, index) = next_watch(&discovery);
     assert_eq!(index, "5", "not from the last complete list");
@@ -378,3 +378,39 @@
     node.signal("HUP");
     next_watch(&new);
 }
+
+/// Guards against a discovery that never gives a list because it is slow: its head comes after the node has opened the next
+/// watch, and its list in pieces over longer than a watch may be silent.
+#[test]
+fn a_slow_discovery_gives_its_list() {
+    let platform = Platform::start(1, 2).unwrap();
+    let discovery = Peer::at(std::net::SocketAddr::new(unused_address().ip(), 0));
+    let hosts = Platform::host_list(&platform.engines, draining("writer-0"));
+    let list = server_list(5, true, &hosts) + "\n";
+    let node = start_watching(&platform, &discovery);
+    // Each head comes only when the next watch is open.
+    let deadline = Instant::now() + LONG;
+    let (mut connection, _) = next_watch(&discovery);
+    loop {
+        assert!(Instant::now() < deadline, "the node takes no list");
+        let next = next_watch(&discovery).0;
+        if connection.is_closed_by_node() {
+            // It was kept for as long as one is kept.
+            connection = next;
+            continue;
+        }
+        connection.write(WATCH_HEAD);
+        let pieces = list.as_bytes().chunks(list.len().div_ceil(12));
+        for piece in pieces {
+            connection.write(&chunk(std::str::from_utf8(piece).unwrap()));
+            std::thread::sleep(Duration::from_millis(270));
+        }
+        node.wait_until_processed();
+        // On a busy machine a pause may have been too long.
+        if !connection.is_closed_by_node() {
+            break;
+        }
+        connection = next_watch(&discovery).0;
+    }
+    until_avoided(&platform, &node, &["writer-0"], "slow");
+}
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -9,6 +9,9 @@
 //! agent is silent, and what the agent learns when discovery is back counts at once, so opening a watch is retried without
 //! end. Retries start at least `RETRY_SPACING` apart, so that a watch that ends as soon as it is opened does not keep the
 //! node busy. With 350 nodes, each node talks to an agent of its own.
+//!
+//! A discovery that is slow is no silent one. A watch without a head is replaced, and one is kept open beside its successors:
+//! whichever is answered first becomes the watch. A list that arrives in pieces may take its time as long as pieces come.
 
 use elderstage::Time;
 use elderstage::settings::SettingNames;
@@ -26,6 +29,14 @@
 const HEARTBEAT_SLACK: Time = 500_000;
 /// Shortest time between the starts of two watches, in microseconds.
 const RETRY_SPACING: Time = 100_000;
+/// How long a watch whose head is late is kept beside the next ones, in microseconds.
+const LATE_HEAD_TIMEOUT: Time = 3_000_000;
+/// Longest pause within a list that arrives in pieces, in microseconds.
+const PIECE_INTERVAL: Time = 1_000_000;
+/// Longest time for a list to arrive, in microseconds.
+const LIST_TIMEOUT: Time = 5_000_000;
+/// How often the two timeouts above are doubled at most while discovery stays too slow for them.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// A discovery that sends only older versions for this time, in microseconds, may have renumbered its versions, and its lists
 /// are accepted. Until then it is assumed to lag: its lists lack the newest engines. The time is half of the time after which
@@ -63,6 +74,14 @@
     objects: ObjectSplitter,
     started_at: Time,
     deadline: Time,
+    /// Until when a watch without a head is kept beside the next ones; 0 if none is.
+    kept_until: Time,
+    /// How many of these have had no answer, one after the other.
+    unanswered: u32,
+    /// Since when the list arrives that is incomplete.
+    incomplete_since: Option<Time>,
+    /// How many watches in a row have ended within a list.
+    incomplete_lists: u32,
 }
 
 impl Watch {
@@ -75,19 +94,43 @@
             objects: ObjectSplitter::default(),
             started_at: 0,
             deadline: 0,
+            kept_until: 0,
+            unanswered: 0,
+            incomplete_since: None,
+            incomplete_lists: 0,
         }
     }
 
     /// Starts a new watch and returns the version from which it requests changes.
     pub fn start(&mut self, now: Time) -> u64 {
         self.objects = ObjectSplitter::default();
+        if self.incomplete_since.take().is_some() {
+            self.incomplete_lists = (self.incomplete_lists + 1).min(MAX_DOUBLINGS);
+        }
         (self.started_at, self.deadline) = (now, now + HEAD_TIMEOUT);
         self.seq
     }
 
-    /// Records that the head of the answer has come.
+    /// Records that the head of the answer has come, on the newest watch or on the one that was kept.
     pub fn record_head(&mut self, now: Time) {
         self.deadline = now + HEARTBEAT_INTERVAL + HEARTBEAT_SLACK;
+        (self.kept_until, self.unanswered) = (0, 0);
+    }
+
+    /// The head of the watch is late and the next one is about to be opened. Returns whether this one is to be kept open
+    /// beside it, in place of one that was kept before.
+    pub fn keep_unanswered(&mut self, now: Time) -> bool {
+        if now < self.kept_until {
+            return false;
+        }
+        self.kept_until = self.started_at + (LATE_HEAD_TIMEOUT << self.unanswered);
+        self.unanswered = (self.unanswered + 1).min(MAX_DOUBLINGS);
+        true
+    }
+
+    /// Records that the watch that was kept has ended without an answer.
+    pub fn forget_unanswered(&mut self) {
+        self.kept_until = 0;
     }
 
     /// Takes bytes of the body and returns the lists that are complete. After an error the next watch starts with the whole
@@ -96,7 +139,15 @@
         let mut lists = Vec::new();
         self.objects.push(bytes);
         let parsed = self.parse_lists(now, names, &mut lists);
-        parsed.inspect_err(|_| self.seq = 0)?;
+        if parsed.is_err() {
+            (self.seq, self.incomplete_since) = (0, None);
+        }
+        parsed?;
+        if self.objects.is_inside() {
+            let since = *self.incomplete_since.get_or_insert(now);
+            let latest = since + (LIST_TIMEOUT << self.incomplete_lists);
+            self.deadline = self.deadline.max(latest.min(now + PIECE_INTERVAL));
+        }
         Ok(lists)
     }
 
@@ -107,8 +158,9 @@
         lists: &mut Vec<List>,
     ) -> Result<(), WatchError> {
         while let Some(item) = self.objects.next_item()? {
-            // Only a complete item extends the deadline: part of a list that never ends is no sign of life.
+            // Part of a list extends the deadline only as long as pieces come, since it may never end.
             self.deadline = now + HEARTBEAT_INTERVAL + HEARTBEAT_SLACK;
+            self.incomplete_since = None;
             if let Item::Object(text) = item {
                 let list = Directory::parse(&text, names)?;
                 if self.must_wait(now, &list) {
@@ -116,7 +168,7 @@
                     let leaving = Box::new(list.into_leaving());
                     return Err(WatchError::OlderVersion { found, known, leaving });
                 }
-                self.older_since = None;
+                (self.older_since, self.incomplete_lists) = (None, 0);
                 self.newest = list.version;
                 self.seq = list.version;
                 lists.push(list);
--- a/crates/platform/tests/watch.rs
+++ b/crates/platform/tests/watch.rs
@@ -226,3 +226,73 @@
         assert_eq!(watch.start(START), 0);
     }
 }
+
+/// Guards against a discovery that never gives a list because it is slow: a list that arrives in pieces is taken, however
+/// long it takes, and one that never ends is given up.
+#[test]
+fn a_list_that_arrives_in_pieces_is_taken() {
+    let text = list(5, "DRAINING");
+    let piece_bytes = text.len().div_ceil(12);
+    let mut watch = Watch::new(1);
+    watch.start(START);
+    watch.record_head(START + MS);
+    let (mut now, mut taken) = (START, Vec::new());
+    for piece in text.as_bytes().chunks(piece_bytes) {
+        now += 270 * MS;
+        assert!(now < watch.deadline(), "{} ms after the head", (now - START) / MS);
+        taken.extend(take_lists(&mut watch, now, std::str::from_utf8(piece).unwrap()));
+    }
+    assert_eq!(taken, [(5, ServerStatus::Draining)]);
+    // Pieces of a list that never ends: each watch is given up, and the next one has more patience.
+    for longest in [6_000, 11_000, 21_000] {
+        let begin = now;
+        watch.start(now);
+        watch.record_head(now);
+        take_lists(&mut watch, now, "{\"hosts\":[");
+        while now < watch.deadline() {
+            now += 250 * MS;
+            take_lists(&mut watch, now, "1,");
+        }
+        let took = (now - begin) / MS;
+        assert!((longest - 1_500..=longest).contains(&took), "{took} ms, {longest} at most");
+    }
+    // Pieces that stop are silence.
+    watch.start(now);
+    watch.record_head(now);
+    take_lists(&mut watch, now, "{\"hosts\":[");
+    assert!(watch.deadline() <= now + 2_500 * MS);
+    watch.start(now);
+    watch.record_head(now);
+    assert_eq!(take_lists(&mut watch, now, &list(6, "SERVING")), [(6, ServerStatus::Running)]);
+}
+
+/// Guards against a discovery that never gives a list because its head is late: one watch without a head is kept beside the
+/// next ones. It is replaced later and later, since discovery may be slower still, or may have forgotten it.
+#[test]
+fn one_watch_without_a_head_is_kept() {
+    let (mut watch, mut now) = (Watch::new(1), START);
+    let mut kept_at = Vec::new();
+    while now < START + 40_000 * MS {
+        watch.start(now);
+        let late_at = watch.deadline();
+        assert_eq!(late_at - now, 300 * MS, "the next one is opened as soon as ever");
+        if watch.keep_unanswered(late_at) {
+            kept_at.push((now - START) / MS);
+        }
+        now = watch.retry_at(late_at);
+    }
+    // The first is kept for 3 s, each later one for twice as long as the one before.
+    assert_eq!(kept_at, [0, 2_700, 8_400, 20_100]);
+    // An answer ends it, and so does the end of the kept connection.
+    watch.record_head(now);
+    for end in [Watch::forget_unanswered, |watch: &mut Watch| watch.record_head(START)] {
+        watch.start(now);
+        assert!(watch.keep_unanswered(now + 300 * MS));
+        watch.start(now + 300 * MS);
+        assert!(!watch.keep_unanswered(now + 600 * MS));
+        end(&mut watch);
+        watch.start(now + 600 * MS);
+        assert!(watch.keep_unanswered(now + 900 * MS));
+        now += 60_000 * MS;
+    }
+}
